--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,7 @@
 	halfLife    = time.Second
 	shedBase    = 0.5 // a call of no worth is shed where the delay passes this part of its aim,
 	shedWorth   = 0.4 // and the worthiest at this much more
-	twoLegPart  = 0.2 // two-leg calls only where delays are under this part of the aim
+	twoLegPart  = 0.0 // two-leg calls only where delays are under this part of the aim
 	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
 	firstTrial  = time.Second
 	lastTrial   = 4 * time.Second
@@ -161,8 +161,8 @@
 	if !add {
 		return nil
 	}
-	e := &exchange{number: n, free: -1, total: -1, used: make([]int, len(c.set.Classes)+1), weight: map[int]float64{},
-		heard: -time.Hour, delayAt: -time.Hour, epsAt: -time.Hour}
+	e := &exchange{number: n, free: -1, total: -1, used: make([]int, len(c.set.Classes)+1),
+		weight: map[int]float64{}, heard: -time.Hour, delayAt: -time.Hour, epsAt: -time.Hour}
 	for b := range e.counts {
 		e.counts[b] = make([]float64, len(c.set.Classes)+1)
 	}
@@ -271,11 +271,10 @@
 
 // ---- The split: Chen and Chen, Equations 4 and 6
 
-// load is what one class offers to a group, in circuits, with the worth of carrying and the penalty of blocking
-// a unit of it.
+// load is what one class offers to a group, in circuits, and what carrying or blocking a unit of it counts.
 type load struct{ erlangs, worth, penalty float64 }
 
-// erlangB is the blocking of n circuits offered a erlangs, by the recursion that neither overflows nor cancels.
+// erlangB is the blocking of n circuits offered a erlangs, by the stable recursion.
 func erlangB(n int, a float64) float64 {
 	if a <= 0 {
 		return 0
@@ -287,8 +286,8 @@
 	return b
 }
 
-// payoff is Equation 6: each reserved part is an Erlang loss system that overflows into the shared part, which
-// Equation 4 scores. reserve[k] is the part of class k.
+// payoff is Equation 6: each reserved part, reserve[k] for class k, is an Erlang loss system that overflows
+// into the shared part, which Equation 4 scores.
 func payoff(n int, reserve []int, loads []load) float64 {
 	total, spill, earn, lose := 0.0, 0.0, 0.0, 0.0
 	shared := n
@@ -377,8 +376,8 @@
 // bucket is the place of the counts of this moment.
 func (c *Controller) bucket() int { return int((c.now - c.birth) / period % time.Duration(buckets)) }
 
-// count notes an offered call for the split. A redial soon after a block is the same demand: counting it again
-// would swell the reserve with how hard callers redial.
+// count notes an offered call for the split. A redial soon after a block is the same demand: counting it
+// again would swell the reserve with how hard callers redial.
 func (c *Controller) count(k *call) {
 	if c.redialled(k) {
 		return
@@ -428,8 +427,8 @@
 
 // ---- Pressure, silence and cold starts
 
-// delayOf is the set-up delay to expect: the running mean, fading while nothing new is seen, or the age of the
-// oldest attempt out, which tells of a jam before its first late answer.
+// delayOf is the set-up delay to expect: the running mean, fading while nothing new is seen, or the age of
+// the oldest attempt out, which tells of a jam before its first late answer.
 func (c *Controller) delayOf(e *exchange) time.Duration {
 	d := time.Duration(float64(e.delay) * math.Exp2(-float64(c.now-e.delayAt)/float64(halfLife)))
 	if len(e.out) > 0 {
@@ -479,8 +478,8 @@
 }
 
 // quiet tells whether an exchange has gone silent: something is out and nothing came back for far longer than
-// set-ups take. Whatever the cause (hung, vanished, cut off, gone while the list still names it), the danger is
-// that calls and circuits pile up behind it; so only single trials go there, at growing gaps.
+// set-ups take. Whatever the cause (hung, vanished, cut off, gone while the list still names it), the danger
+// is that calls and circuits pile up behind it; so only single trials go there, at growing gaps.
 func (c *Controller) quiet(e *exchange) bool {
 	if e.silent || len(e.out) == 0 {
 		return e.silent
@@ -512,8 +511,8 @@
 	return c.warm(e)
 }
 
-// warm keeps the cold budget (rule 4). A just-started processor falls over when all call servers together send
-// it too much; this one keeps to its own share of the multiple of the coldest capacity, over any window.
+// warm keeps the cold budget (rule 4). A just-started processor falls over when all call servers together
+// send it too much; this one keeps to its share of the multiple of the coldest capacity, over any window.
 func (c *Controller) warm(e *exchange) bool {
 	if !e.cold {
 		return true
