--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,7 @@
 	halfLife    = time.Second
 	shedBase    = 0.5 // a call of no worth is shed where the delay passes this part of its aim,
 	shedWorth   = 0.4 // and the worthiest at this much more
-	twoLegPart  = 0.0 // two-leg calls only where delays are under this part of the aim
+	twoLegPart  = 0.2 // two-leg calls only where delays are under this part of the aim
 	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
 	firstTrial  = time.Second
 	lastTrial   = 4 * time.Second
@@ -86,7 +86,7 @@
 	free, total         int     // circuits of the group; -1 unknown
 	used                []int   // circuits of own calls by class; the last for two-leg calls
 	counts              [buckets][]float64
-	reserve             int
+	reserve, direct     int     // parts for the worthiest class, and for direct calls of any class
 	others              float64 // mean circuits in use that are not of own calls
 	weight              map[int]float64
 	out                 []*call
@@ -313,66 +313,68 @@
 		return
 	}
 	span := math.Min(window.Seconds(), (c.now - c.birth).Seconds())
-	loads := make([]load, len(c.set.Classes)+1)
-	for b := range e.counts {
-		for k, v := range e.counts[b] {
-			loads[k].erlangs += v
-		}
+	// Three loads are split: the worthiest class, the other direct calls, and the two-leg calls.
+	loads, hold := make([]load, 3), c.meanHold().Seconds()
+	for k, cl := range append(c.set.Classes, Class{Worth: c.topWorth * twoLegWorth, Width: 1}) {
+		l, calls, width := &loads[1], 0.0, math.Max(1, float64(cl.Width))
+		if k == c.top {
+			l = &loads[0]
+		} else if k == len(c.set.Classes) {
+			l = &loads[2]
+			cl.Worth, width = twoLegWorth*c.meanWorth(), c.meanWidth()
+		}
+		for b := range e.counts {
+			calls += e.counts[b][k]
+		}
+		if calls == 0 {
+			continue
+		}
+		a := calls * hold * width / span
+		l.worth = (l.worth*l.erlangs + cl.Worth/width*a) / (l.erlangs + a)
+		l.erlangs += a
 	}
-	hold := c.meanHold().Seconds()
 	for k := range loads {
-		worth, width := c.topWorth*twoLegWorth, 1.0
-		if k < len(c.set.Classes) {
-			worth, width = c.set.Classes[k].Worth, math.Max(1, float64(c.set.Classes[k].Width))
-		}
-		loads[k].erlangs *= hold * width / span
-		loads[k].worth, loads[k].penalty = worth/width, worth/width
-	}
-	reserve := make([]int, len(loads))
-	score := func(r int) float64 {
-		reserve[c.top] = r
-		return payoff(n, reserve, loads)
-	}
-	old := e.reserve
-	if old > n {
-		old = n
-	}
-	best, bestScore := old, score(old)
-	now := bestScore
-	for r := 0; r <= n; r += 1 + n/64 {
-		if s := score(r); s > bestScore {
-			best, bestScore = r, s
+		loads[k].penalty = loads[k].worth
+	}
+	score := func(r, d int) float64 { return payoff(n, []int{r, d, 0}, loads) }
+	r, d := min(e.reserve, n), min(e.direct, n-min(e.reserve, n))
+	old, step := score(r, d), 1+n/32
+	best := old
+	for i := 0; i <= n; i += step {
+		for j := 0; i+j <= n; j += step {
+			if s := score(i, j); s > best {
+				r, d, best = i, j, s
+			}
 		}
 	}
 	// Payoff is per mean hold: a clear win gains whole calls of the worthiest class within a window.
-	if (bestScore-now)*window.Seconds()/math.Max(hold, 0.001) > clearWin*c.topWorth || old != e.reserve {
-		if best != e.reserve {
-			c.host.Log(fmt.Sprintf("split exchange=%d reserve=%d was=%d of=%d", e.number, best, e.reserve, n))
-		}
-		e.reserve = best
+	if (best-old)*window.Seconds()/math.Max(hold, 0.001) > clearWin*c.topWorth {
+		c.host.Log(fmt.Sprintf("split exchange=%d reserve=%d direct=%d of=%d", e.number, r, d, n))
+		e.reserve, e.direct = r, d
 	}
 }
 
-// meanHold is one mean hold time for all classes, by the calls seen.
-func (c *Controller) meanHold() time.Duration {
+// mean weighs a value of the classes by the calls seen.
+func (c *Controller) mean(of func(Class) float64) float64 {
 	sum, n := 0.0, 0.0
 	for i, k := range c.set.Classes {
-		sum += (c.mix[i] + 1) * float64(k.Hold)
+		sum += (c.mix[i] + 1) * of(k)
 		n += c.mix[i] + 1
 	}
-	return time.Duration(sum / n)
+	return sum / n
+}
+
+// meanHold is one mean hold time for all classes.
+func (c *Controller) meanHold() time.Duration {
+	return time.Duration(c.mean(func(k Class) float64 { return float64(k.Hold) }))
 }
 
-// meanWidth is the mean width by the calls seen.
 func (c *Controller) meanWidth() float64 {
-	sum, n := 0.0, 0.0
-	for i, k := range c.set.Classes {
-		sum += (c.mix[i] + 1) * math.Max(1, float64(k.Width))
-		n += c.mix[i] + 1
-	}
-	return sum / n
+	return c.mean(func(k Class) float64 { return math.Max(1, float64(k.Width)) })
 }
 
+func (c *Controller) meanWorth() float64 { return c.mean(func(k Class) float64 { return k.Worth }) }
+
 // bucket is the place of the counts of this moment.
 func (c *Controller) bucket() int { return int((c.now - c.birth) / period % time.Duration(buckets)) }
 
@@ -416,11 +418,15 @@
 	if e.free < 0 {
 		return true // not told yet: the outcome will tell
 	}
-	room := e.free
+	room, own := e.free, 0
+	for _, u := range e.used[:len(c.set.Classes)] {
+		own += u
+	}
 	if twoLeg || k.Class != c.top {
-		if open := e.reserve - e.used[c.top]; open > 0 {
-			room -= open
-		}
+		room -= max(0, e.reserve-e.used[c.top])
+	}
+	if twoLeg {
+		room -= max(0, e.direct-(own-min(e.reserve, e.used[c.top])))
 	}
 	return room >= k.Width
 }
@@ -636,12 +642,13 @@
 
 // tandem draws a tandem (a pool of second choice) by the weights learnt for the destination.
 func (c *Controller) tandem(k *call) *exchange {
-	if !c.set.Pools && float64(c.ownDelay()) > twoLegPart*float64(c.set.Classes[k.Class].Aim) ||
-		!c.set.Pools && c.pressed(k.dest, k, true) {
-		return nil
-	}
 	var fit []*exchange
 	sum := 0.0
+	for _, e := range c.exchanges { // offered to the groups alike, also where none takes it
+		if e != k.dest && e.number != c.set.Home && k.attempts == 0 {
+			e.counts[c.bucket()][len(c.set.Classes)] += 1 / math.Max(1, float64(len(c.exchanges)-2))
+		}
+	}
 	for _, e := range c.exchanges {
 		if e != k.dest && !k.tried[e.number] && k.allowed(c, e) && c.reachable(e) && !e.silent &&
 			e.free >= 0 && c.fits(e, k, true) && !c.pressed(e, k, true) {
@@ -649,6 +656,10 @@
 			sum += k.dest.weightOf(e)
 		}
 	}
+	if !c.set.Pools && (float64(c.ownDelay()) > twoLegPart*float64(c.set.Classes[k.Class].Aim) ||
+		c.pressed(k.dest, k, true)) {
+		return nil
+	}
 	x := c.rng.Float64() * sum
 	for _, e := range fit {
 		if x -= k.dest.weightOf(e); x <= 0 {
@@ -687,9 +698,6 @@
 	}
 	e.used[k.part(c)] += k.Width
 	e.out = append(e.out, k)
-	if twoLeg && !k.Transit {
-		e.counts[c.bucket()][len(c.set.Classes)]++
-	}
 	e.tokens--
 	if home := c.exchange(c.set.Home, false); home != nil && home.cold {
 		home.tokens--
