--- a/logic/logic.go
+++ b/logic/logic.go
@@ -662,8 +662,13 @@
 	}
 	x := c.rng.Float64() * sum
 	for _, e := range fit {
+		// The weight is also the chance that the drawn tandem is tried at all: where turn-backs have cut it, the
+		// second leg is short of circuits, and a try would cost three processors for nothing.
 		if x -= k.dest.weightOf(e); x <= 0 {
-			return e
+			if c.rng.Float64() < k.dest.weightOf(e) {
+				return e
+			}
+			return nil
 		}
 	}
 	return nil
