--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,8 +22,8 @@
 	buckets     = int(window / period)
 	twoLegWorth = 0.5  // worth of a two-leg call, which holds circuits on two groups
 	clearWin    = 1.0  // a new split must gain this many of the worthiest calls in a window
-	raise       = 1.2  // tandem weight on a stand
-	cut         = 0.5  // tandem weight on a turn-back or a full processor
+	raise       = 1.1  // tandem weight on a stand
+	cut         = 0.3  // tandem weight on a turn-back or a full processor
 	floor       = 0.05 // least tandem weight: every tandem is tried now and then
 	smooth      = 0.3  // weight of a new set-up delay in the running mean
 	halfLife    = time.Second
@@ -662,12 +662,11 @@
 	}
 	x := c.rng.Float64() * sum
 	for _, e := range fit {
-		// The weight is also the chance that the drawn tandem is tried at all: where turn-backs have cut it, the
-		// second leg is short of circuits, and a try would cost three processors for nothing.
-		if x -= k.dest.weightOf(e); x <= 0 {
-			if c.rng.Float64() < k.dest.weightOf(e) {
-				return e
-			}
+		// The weight is also the chance that the drawn tandem is tried at all: where turn-backs have cut it,
+		// the second leg is short of circuits, and a try would cost three processors for nothing.
+		if x -= k.dest.weightOf(e); x <= 0 && c.rng.Float64() < k.dest.weightOf(e) {
+			return e
+		} else if x <= 0 {
 			return nil
 		}
 	}
