--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,6 @@
 	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
 	firstTrial  = time.Second
 	lastTrial   = 4 * time.Second
-	waitPart    = 0.8  // a blocked call waits for a circuit for this part of its aim, less the delay
 	coldUse     = 0.75 // part of the cold budget that is used steadily,
 	coldBurst   = 0.2  // and the part that may go at once
 	redialSpan  = 4 * time.Second
@@ -61,14 +60,13 @@
 
 type call struct {
 	Call
-	born, due time.Duration // due: last moment for an answer
+	due       time.Duration // last moment for an answer
 	notBefore time.Duration // rule 5
 	dest, at  *exchange     // at: where the attempt went
 	office    string
 	sent      time.Duration
 	attempts  int
-	until     time.Duration // waits for a circuit until then
-	out       bool          // an attempt is out
+	out       bool // an attempt is out
 	stands    bool
 	answered  bool // the final answer is given
 	twoLeg    bool
@@ -91,7 +89,7 @@
 	reserve, direct     int     // parts for the worthiest class, and for direct calls of any class
 	others              float64 // mean circuits in use that are not of own calls
 	weight              map[int]float64
-	out, waiting        []*call
+	out                 []*call
 	silent              bool
 	heard, silentFrom   time.Duration
 	nextTrial, trialGap time.Duration
@@ -245,9 +243,7 @@
 func (c *Controller) Report(now time.Duration, r Report) {
 	c.at(now)
 	if o := c.offices[r.Office]; o != nil && r.OK {
-		e := c.exchange(o.Exchange, true)
-		c.learn(e, r.Load)
-		c.serve(e)
+		c.learn(c.exchange(o.Exchange, true), r.Load)
 	}
 }
 
@@ -584,7 +580,7 @@
 	if c.calls[in.ID] != nil {
 		return
 	}
-	k := &call{Call: in, born: now, due: now + in.TimeLeft - c.margin(), dest: c.exchange(in.Dest, false)}
+	k := &call{Call: in, due: now + in.TimeLeft - c.margin(), dest: c.exchange(in.Dest, false)}
 	c.calls[in.ID] = k
 	if in.Class < 0 || in.Class >= len(c.set.Classes) || k.dest == nil || now >= k.due {
 		c.turnAway(k)
@@ -627,38 +623,7 @@
 			return
 		}
 	}
-	c.wait(k)
-}
-
-// wait keeps a blocked call for a circuit, for as long as it would still stand within its aim. A redial costs
-// the own processor another look and comes too late to earn its worth.
-func (c *Controller) wait(k *call) {
-	limit := k.born + time.Duration(waitPart*float64(c.set.Classes[k.Class].Aim)) - c.delayOf(k.dest)
-	if k.Class != c.top || k.Transit || c.now >= limit || limit >= k.due || k.attempts > 0 {
-		c.turnAway(k)
-		return
-	}
-	if k.until == 0 {
-		k.until = limit
-		k.dest.waiting = append(k.dest.waiting, k)
-		c.host.Timer(limit-c.now, "c"+strconv.FormatUint(k.ID, 10))
-	}
-}
-
-// serve gives freed circuits to waiting calls, the worthiest first.
-func (c *Controller) serve(e *exchange) {
-	for rank := 0; rank < 2; rank++ {
-		for i := 0; i < len(e.waiting); i++ {
-			k := e.waiting[i]
-			if (rank == 0) == (k.Class == c.top) && c.fits(e, k, false) && c.reachable(e) && !c.pressed(e, k, false) {
-				e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
-				i--
-				if k.until = 0; !k.answered && !k.out {
-					c.send(k, e, false)
-				}
-			}
-		}
-	}
+	c.turnAway(k)
 }
 
 // allowed tells whether a pool has the skill for a call; exchanges have it all.
@@ -893,12 +858,6 @@
 // turnAway gives the final answer. A call that may have run where that is not safe is failed, never refused.
 func (c *Controller) turnAway(k *call) {
 	k.answered = true
-	for i, w := range k.waitsAt() {
-		if w == k {
-			k.dest.waiting = append(k.dest.waiting[:i], k.dest.waiting[i+1:]...)
-			break
-		}
-	}
 	if !k.out {
 		delete(c.calls, k.ID)
 	}
@@ -912,14 +871,6 @@
 	c.host.Refuse(k.ID, 0)
 }
 
-// waitsAt is the queue that a call waits in.
-func (k *call) waitsAt() []*call {
-	if k.until == 0 {
-		return nil
-	}
-	return k.dest.waiting
-}
-
 // HungUp takes the news that the caller has gone.
 func (c *Controller) HungUp(now time.Duration, id uint64) {
 	c.at(now)
@@ -963,9 +914,7 @@
 	case now >= k.due:
 		c.turnAway(k)
 		c.drop(k)
-	case !k.out && k.until > 0 && now >= k.until:
-		c.turnAway(k)
-	case !k.out && k.until == 0 && now >= k.notBefore:
+	case !k.out && now >= k.notBefore:
 		c.route(k)
 	}
 }
