--- a/logic/logic.go
+++ b/logic/logic.go
@@ -10,8 +10,10 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -112,8 +114,7 @@
 		return nil, err
 	}
 	c := &Controller{set: s, host: s.Host, rng: rand.New(rand.NewSource(seed)), calls: map[uint64]*call{},
-		offices: map[string]*office{}, numbers: map[string]*number{}, spare: -1, sz: -1, eps: -1,
-		mix: make([]float64, len(s.Classes))}
+		offices: map[string]*office{}, numbers: map[string]*number{}, mix: make([]float64, len(s.Classes))}
 	for i, k := range s.Classes {
 		if k.Worth > c.topWorth {
 			c.top, c.topWorth = i, k.Worth
@@ -122,16 +123,8 @@
 			c.aim = k.Aim
 		}
 	}
-	for i, f := range s.ReportFields {
-		switch f {
-		case "spare":
-			c.spare = i
-		case "total":
-			c.sz = i
-		case "cut_by":
-			c.eps = i
-		}
-	}
+	c.spare, c.sz, c.eps = slices.Index(s.ReportFields, "spare"), slices.Index(s.ReportFields, "total"),
+		slices.Index(s.ReportFields, "cut_by")
 	return c, nil
 }
 
@@ -544,9 +537,7 @@
 func (c *Controller) capacity() float64 {
 	circuits := 0
 	for _, e := range c.exchanges {
-		if e.total > 0 {
-			circuits += e.total
-		}
+		circuits += max(0, e.total)
 	}
 	hold := math.Max(c.meanHold().Seconds(), 0.1)
 	return math.Max(float64(circuits)/(hold*c.meanWidth()), 1)
@@ -629,15 +620,7 @@
 // allowed tells whether a pool has the skill for a call; exchanges have it all.
 func (k *call) allowed(c *Controller, e *exchange) bool {
 	pools := c.set.Classes[k.Class].Pools
-	if !c.set.Pools || len(pools) == 0 {
-		return true
-	}
-	for _, p := range pools {
-		if p == e.number {
-			return true
-		}
-	}
-	return false
+	return !c.set.Pools || len(pools) == 0 || slices.Contains(pools, e.number)
 }
 
 // tandem draws a tandem (a pool of second choice) by the weights learnt for the destination.
@@ -696,10 +679,7 @@
 		k.tried = map[int]bool{}
 	}
 	k.tried[e.number] = true
-	e.free -= k.Width
-	if e.free < -1 {
-		e.free = -1
-	}
+	e.free = max(e.free-k.Width, -1)
 	e.used[k.part(c)] += k.Width
 	e.out = append(e.out, k)
 	e.tokens--
@@ -708,9 +688,7 @@
 	}
 	if e.silent {
 		e.nextTrial = c.now + e.trialGap
-		if e.trialGap *= 2; e.trialGap > lastTrial {
-			e.trialGap = lastTrial
-		}
+		e.trialGap = min(2*e.trialGap, lastTrial)
 	}
 	c.host.Send(k.ID, k.office, left)
 }
@@ -725,11 +703,8 @@
 
 // settle takes an attempt off the books of the attempts that wait for an answer.
 func (k *call) settle() {
-	for i, o := range k.at.out {
-		if o == k {
-			k.at.out = append(k.at.out[:i], k.at.out[i+1:]...)
-			return
-		}
+	if i := slices.Index(k.at.out, k); i >= 0 {
+		k.at.out = slices.Delete(k.at.out, i, i+1)
 	}
 }
 
@@ -811,11 +786,7 @@
 // busy notes a busy number: the pause before its next call doubles.
 func (c *Controller) busy(k *call) {
 	n := c.note(k)
-	if n.gap *= 2; n.gap < busyGap {
-		n.gap = busyGap
-	} else if n.gap > busyGapMost {
-		n.gap = busyGapMost
-	}
+	n.gap = min(max(2*n.gap, busyGap), busyGapMost)
 	n.busyUntil = c.now + n.gap
 }
 
@@ -898,19 +869,12 @@
 		c.tick()
 		return
 	}
-	if mark == "w" {
-		c.host.Watch(true)
-		return
-	}
-	if len(mark) < 2 {
-		return
-	}
-	id, err := strconv.ParseUint(mark[1:], 10, 64)
+	id, err := strconv.ParseUint(strings.TrimPrefix(mark, "c"), 10, 64)
 	k := c.calls[id]
-	if err != nil || k == nil || k.answered {
-		return
-	}
 	switch {
+	case mark == "w":
+		c.host.Watch(true)
+	case err != nil || k == nil || k.answered:
 	case now >= k.due:
 		c.turnAway(k)
 		c.drop(k)
