--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,9 +35,8 @@
 	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
 	firstTrial  = time.Second
 	lastTrial   = 4 * time.Second
-	coldUse     = 0.75 // part of the cold budget that is used steadily,
-	coldBurst   = 0.2  // and the part that may go at once
-	redialSpan  = 4 * time.Second
+	coldUse     = 0.75                   // part of the cold budget that is used steadily,
+	coldBurst   = 0.2                    // and the part that may go at once
 	busyGap     = 250 * time.Millisecond // first pause for a busy number; doubles
 	busyGapMost = 2 * time.Second
 )
@@ -62,7 +61,7 @@
 
 type call struct {
 	Call
-	due       time.Duration // last moment for an answer
+	born, due time.Duration // born: first try; due: last moment for an answer
 	notBefore time.Duration // rule 5
 	dest, at  *exchange     // at: where the attempt went
 	office    string
@@ -103,9 +102,11 @@
 	tokens              float64
 }
 
+// number is what is remembered of a number called.
 type number struct {
-	blocked, busyUntil time.Duration
-	gap                time.Duration
+	class          int
+	first          time.Duration // first try of a caller who has not got through
+	busyUntil, gap time.Duration
 }
 
 // New makes a Controller, or tells which setting is wrong.
@@ -371,19 +372,25 @@
 // bucket is the place of the counts of this moment.
 func (c *Controller) bucket() int { return int((c.now - c.birth) / period % time.Duration(buckets)) }
 
-// count notes an offered call for the split. A redial soon after a block is the same demand: counting it
-// again would swell the reserve with how hard callers redial.
-func (c *Controller) count(k *call) {
-	if c.redialled(k) {
+// place finds out whether a call is a redial, and counts it for the split if it is not: the same demand counted
+// again would swell the reserve with how hard callers redial. A redial's aim runs from its first try.
+func (c *Controller) place(k *call) {
+	n := c.numbers[k.Number]
+	if n != nil && n.first > 0 && n.class == k.Class && !k.WasCut && c.now-n.first < c.set.Classes[k.Class].Deadline {
+		k.born = n.first
+	} else if !k.Again {
+		c.mix[k.Class]++
+		k.dest.counts[c.bucket()][k.Class]++
 		return
 	}
-	c.mix[k.Class]++
-	k.dest.counts[c.bucket()][k.Class]++
+	k.dest.counts[c.bucket()][len(c.set.Classes)]++
 }
 
-func (c *Controller) redialled(k *call) bool {
-	n := c.numbers[k.Number]
-	return k.Again || k.Number != "" && n != nil && n.blocked > 0 && c.now-n.blocked < redialSpan
+// late tells whether a call would stand after its aim. It earns little then, and takes the circuits and the
+// processors from calls in time: such calls join the two-leg calls in the lowest class. The danger is the wave
+// of redials that any shortage brings, whatever its cause.
+func (c *Controller) late(k *call) bool {
+	return !k.Transit && c.now+c.delayOf(k.dest) > k.born+c.set.Classes[k.Class].Aim
 }
 
 // tick is the work of each period.
@@ -398,7 +405,7 @@
 		clear(e.counts[c.bucket()])
 	}
 	for id, n := range c.numbers {
-		if c.now-n.blocked > redialSpan && c.now > n.busyUntil+busyGapMost {
+		if c.now-n.first > c.set.Classes[n.class].Deadline && c.now > n.busyUntil+busyGapMost {
 			delete(c.numbers, id)
 		}
 	}
@@ -407,7 +414,7 @@
 
 // fits tells whether a call finds a circuit: in the reserve of its class, then in the shared part. What the
 // worthiest class has not filled of its reserve is closed to all others, on tandem and transit sends too.
-func (c *Controller) fits(e *exchange, k *call, twoLeg bool) bool {
+func (c *Controller) fits(e *exchange, k *call, lowest bool) bool {
 	if e.free < 0 {
 		return true // not told yet: the outcome will tell
 	}
@@ -415,10 +422,10 @@
 	for _, u := range e.used[:len(c.set.Classes)] {
 		own += u
 	}
-	if twoLeg || k.Class != c.top {
+	if lowest || k.Class != c.top {
 		room -= max(0, e.reserve-e.used[c.top])
 	}
-	if twoLeg {
+	if lowest {
 		room -= max(0, e.direct-(own-min(e.reserve, e.used[c.top])))
 	}
 	return room >= k.Width
@@ -548,7 +555,7 @@
 func (c *Controller) pressed(e *exchange, k *call, twoLeg bool) bool {
 	cl := c.set.Classes[k.Class]
 	part := shedBase
-	if c.topWorth > 0 {
+	if c.topWorth > 0 && !c.late(k) {
 		part += shedWorth * cl.Worth / c.topWorth
 	}
 	if twoLeg {
@@ -571,7 +578,7 @@
 	if c.calls[in.ID] != nil {
 		return
 	}
-	k := &call{Call: in, due: now + in.TimeLeft - c.margin(), dest: c.exchange(in.Dest, false)}
+	k := &call{Call: in, born: now, due: now + in.TimeLeft - c.margin(), dest: c.exchange(in.Dest, false)}
 	c.calls[in.ID] = k
 	if in.Class < 0 || in.Class >= len(c.set.Classes) || k.dest == nil || now >= k.due {
 		c.turnAway(k)
@@ -585,7 +592,7 @@
 	if k.Transit {
 		k.dest.counts[c.bucket()][len(c.set.Classes)]++
 	} else {
-		c.count(k)
+		c.place(k)
 	}
 	c.route(k)
 }
@@ -604,11 +611,11 @@
 		c.turnAway(k)
 		return
 	}
-	if k.allowed(c, k.dest) && !k.tried[k.dest.number] && c.fits(k.dest, k, k.Transit) {
+	if k.allowed(c, k.dest) && !k.tried[k.dest.number] && c.fits(k.dest, k, k.Transit || c.late(k)) {
 		c.send(k, k.dest, k.Transit)
 		return
 	}
-	if !k.Transit && !(n != nil && n.gap > 0) {
+	if !k.Transit && !c.late(k) && !(n != nil && n.gap > 0) {
 		if t := c.tandem(k); t != nil {
 			c.send(k, t, true)
 			return
@@ -719,7 +726,7 @@
 	k.settle()
 	c.hear(k.at)
 	if n := c.numbers[k.Number]; n != nil {
-		n.gap = 0
+		n.gap, n.first = 0, 0
 	}
 	if !k.twoLeg || k.Transit || c.set.Pools {
 		c.observe(k.at, o.Took)
@@ -836,8 +843,9 @@
 		c.host.Fail(k.ID)
 		return
 	}
-	if !k.Transit && k.Number != "" {
-		c.note(k).blocked = c.now
+	if !k.Transit && k.Number != "" && k.dest != nil && k.Class >= 0 && k.Class < len(c.mix) {
+		n := c.note(k)
+		n.class, n.first = k.Class, k.born
 	}
 	c.host.Refuse(k.ID, 0)
 }
