--- a/logic/logic.go
+++ b/logic/logic.go
@@ -372,11 +372,12 @@
 // bucket is the place of the counts of this moment.
 func (c *Controller) bucket() int { return int((c.now - c.birth) / period % time.Duration(buckets)) }
 
-// place finds out whether a call is a redial, and counts it for the split if it is not: the same demand counted
-// again would swell the reserve with how hard callers redial. A redial's aim runs from its first try.
+// place finds out whether a call is a redial, and counts it for the split if it is not: the same demand
+// counted again would swell the reserve with how hard callers redial. A redial's aim runs from its first try.
 func (c *Controller) place(k *call) {
 	n := c.numbers[k.Number]
-	if n != nil && n.first > 0 && n.class == k.Class && !k.WasCut && c.now-n.first < c.set.Classes[k.Class].Deadline {
+	patience := c.set.Classes[k.Class].Deadline
+	if n != nil && n.first > 0 && n.class == k.Class && !k.WasCut && c.now-n.first < patience {
 		k.born = n.first
 	} else if !k.Again {
 		c.mix[k.Class]++
@@ -386,9 +387,9 @@
 	k.dest.counts[c.bucket()][len(c.set.Classes)]++
 }
 
-// late tells whether a call would stand after its aim. It earns little then, and takes the circuits and the
-// processors from calls in time: such calls join the two-leg calls in the lowest class. The danger is the wave
-// of redials that any shortage brings, whatever its cause.
+// late tells whether a call would stand after its aim. It earns little then, and takes the circuits and
+// processors from calls in time: such calls join the two-leg calls in the lowest class. The danger is the
+// wave of redials that any shortage brings, whatever its cause.
 func (c *Controller) late(k *call) bool {
 	return !k.Transit && c.now+c.delayOf(k.dest) > k.born+c.set.Classes[k.Class].Aim
 }
