--- a/logic/logic.go
+++ b/logic/logic.go
@@ -668,7 +668,7 @@
 	if w, ok := e.weight[t.number]; ok {
 		return w
 	}
-	return 1
+	return 0.4
 }
 
 func (e *exchange) reweigh(t *exchange, by float64) {
