--- a/logic/logic.go
+++ b/logic/logic.go
@@ -534,6 +534,9 @@
 		ramp += (1 - ramp) * float64(late) / float64(c.set.ColdFor)
 	}
 	budget := c.set.Overload * ramp * c.capacity() / float64(c.set.Instances)
+	if e.number == c.set.Home && !c.set.Pools { // its own calls are half of the work of a processor
+		budget *= math.Max(1, float64(c.set.Instances)/2)
+	}
 	tip := c.set.TipAfter.Seconds()
 	depth := math.Max(1, budget*tip*coldBurst)
 	e.tokens = math.Min(depth, e.tokens+(c.now-e.tokensAt).Seconds()*budget*coldUse)
