--- a/logic/logic.go
+++ b/logic/logic.go
@@ -566,7 +566,7 @@
 		part = twoLegPart
 	}
 	if float64(c.delayOf(e)) > part*float64(cl.Aim) {
-		return true
+		return twoLeg || !e.silent // a silent exchange gets its single trials whatever the age of what is out
 	}
 	if eps := e.eps * math.Exp2(-float64(c.now-e.epsAt)/float64(2*halfLife)); eps > 0.02 {
 		return twoLeg || k.Class != c.top && c.rng.Float64() < eps
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,214 @@
+package logic
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestNewNamesTheBadSetting(t *testing.T) {
+	for name, spoil := range map[string]func(*Settings){
+		"Host": func(s *Settings) { s.Host = nil }, "Classes": func(s *Settings) { s.Classes = nil },
+		"Release": func(s *Settings) { s.Release = -1 }, "ColdFrom": func(s *Settings) { s.ColdFrom = 1.5 },
+		"Overload": func(s *Settings) { s.Overload = -1 }, "MaxAttempts": func(s *Settings) { s.MaxAttempts = -1 },
+	} {
+		s := testSettings()
+		s.Host = newChecker(s)
+		spoil(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
+
+// quietBed has no random events; calls are placed by hand.
+func quietBed(t *testing.T, change func(*Settings)) *bed {
+	s := testSettings()
+	if change != nil {
+		change(&s)
+	}
+	return newBed(t, s, 1)
+}
+
+func (b *bed) call(class, dest int, number string) string {
+	b.next++
+	b.h.calls[b.next] = &watched{dest: dest, due: b.h.now + 3*time.Second}
+	from := len(b.h.acts)
+	b.c.Offered(b.h.now, Call{ID: b.next, Class: class, Dest: dest, Via: -1, TimeLeft: 3 * time.Second, Number: number})
+	for _, a := range b.h.acts[from:] {
+		if !strings.HasPrefix(a, "log") {
+			return strings.Fields(a)[0] + " " + strings.TrimPrefix(b.h.calls[b.next].office, "o")
+		}
+	}
+	return ""
+}
+
+func (b *bed) stand(id uint64) {
+	k := b.h.calls[id]
+	k.stands = true
+	b.c.Stands(b.h.now, Outcome{Call: id, Attempt: k.attempts - 1, Office: k.office, Took: 50 * time.Millisecond})
+}
+
+func (b *bed) fails(id uint64, s Status, note int) {
+	k := b.h.calls[id]
+	k.out = false
+	b.c.Outcome(b.h.now, Outcome{Call: id, Attempt: k.attempts - 1, Office: k.office, Status: s, Note: note,
+		Took: b.h.now})
+}
+
+func TestReserveIsClosedToOthers(t *testing.T) {
+	b := quietBed(t, nil)
+	e := b.c.exchange(1, false)
+	e.reserve, e.direct = 3, 0
+	b.report("o1", 3)
+	for x := 2; x < 6; x++ {
+		b.report(fmt.Sprintf("o%d", x), 0)
+	}
+	if got := b.call(0, 1, "x"); got != "refuse " {
+		t.Errorf("common call: %q", got)
+	}
+	if got := b.call(1, 1, "y"); got != "send 1" {
+		t.Errorf("worthiest call: %q", got)
+	}
+}
+
+func TestDirectPartIsClosedToTwoLegCallsOnly(t *testing.T) {
+	b := quietBed(t, nil)
+	e := b.c.exchange(1, false)
+	e.direct = 4
+	b.report("o1", 4)
+	k := &call{Call: Call{Width: 1}, dest: e}
+	if b.c.fits(e, k, true) || !b.c.fits(e, k, false) {
+		t.Error("four free of a direct part of four: two-leg calls must stay out, direct ones go in")
+	}
+}
+
+// Guards against redials past their aim: they take circuits from calls that would stand in time.
+func TestLateRedialIsLowest(t *testing.T) {
+	b := quietBed(t, nil)
+	for x := 1; x < 6; x++ {
+		b.report(fmt.Sprintf("o%d", x), 0)
+	}
+	if got := b.call(0, 1, "n"); got != "refuse " {
+		t.Fatalf("no circuits: %q", got)
+	}
+	b.h.now += 1100 * time.Millisecond
+	b.report("o1", 4)
+	b.c.exchange(1, false).direct = 4
+	if got := b.call(0, 1, "n"); got != "refuse " {
+		t.Errorf("redial past its aim: %q", got)
+	}
+	if got := b.call(0, 1, "m"); got != "send 1" {
+		t.Errorf("fresh call: %q", got)
+	}
+	if got := b.c.exchange(1, false).counts[0][0]; got != 2 {
+		t.Errorf("%v fresh calls counted, want 2", got)
+	}
+}
+
+// Guards against calls and circuits piling up behind an exchange that answers nothing.
+func TestSilentExchangeGetsSingleTrials(t *testing.T) {
+	b := quietBed(t, nil)
+	b.call(0, 1, "a")
+	b.h.now += 700 * time.Millisecond
+	sent := 0
+	for i := 0; i < 400; i++ {
+		b.h.now += 10 * time.Millisecond
+		if b.call(0, 1, fmt.Sprint("s", i)) == "send 1" {
+			sent++
+		}
+	}
+	if sent < 1 || sent > 4 {
+		t.Errorf("%d calls at risk in 4 s of silence, want 1 to 4", sent)
+	}
+	b.stand(b.h.out[len(b.h.out)-1])
+	if b.c.exchange(1, false).silent {
+		t.Error("still taken for silent after an answer")
+	}
+}
+
+func TestTurnBacksQuietenATandem(t *testing.T) {
+	b := quietBed(t, nil)
+	b.report("o1", 0)
+	tries := 0
+	for i := 0; i < 400; i++ {
+		if strings.HasPrefix(b.call(0, 1, fmt.Sprint(i)), "send") {
+			for tries++; b.h.calls[b.next].out; tries++ {
+				b.fails(b.next, Full, NoteTurnedBack)
+			}
+		}
+	}
+	if tries == 0 || tries > 200 {
+		t.Errorf("%d tandem tries in 400 blocked calls that are all turned back", tries)
+	}
+}
+
+func TestUnsafeCallIsNotRefusedOnceItMayHaveRun(t *testing.T) {
+	b := quietBed(t, func(s *Settings) { s.Classes[0].Safe = false })
+	b.call(0, 1, "a")
+	b.fails(1, Faulted, 0)
+	if last := b.h.acts[len(b.h.acts)-1]; last != "fail 1" {
+		t.Errorf("last action %q", last)
+	}
+}
+
+func TestBusyNumberIsTriedOneAtATime(t *testing.T) {
+	b := quietBed(t, nil)
+	b.call(0, 1, "hot")
+	b.fails(1, Faulted, NoteBusy)
+	if got := b.call(0, 1, "hot"); got != "refuse " {
+		t.Errorf("second call at once: %q", got)
+	}
+	if got := b.call(0, 1, "cool"); got != "send 1" {
+		t.Errorf("another number: %q", got)
+	}
+}
+
+func TestPoolsTakeTheSecondChoice(t *testing.T) {
+	b := quietBed(t, func(s *Settings) { s.Pools, s.Home = true, -1; s.Classes[0].Pools = []int{1, 3} })
+	b.report("o1", 0)
+	for i := 0; i < 50; i++ {
+		if got := b.call(0, 1, fmt.Sprint(i)); got != "send 3" && got != "refuse " {
+			t.Fatalf("call went %q", got)
+		}
+	}
+	if b.c.exchange(3, false).used[2] == 0 {
+		t.Error("the second choice took nothing")
+	}
+}
+
+func TestOddSettings(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"no reports":   func(s *Settings) { s.ReportFields = nil },
+		"zero release": func(s *Settings) { s.Release = 0 },
+		"too wide":     func(s *Settings) { s.Classes[0].Width = 40 },
+		"zero holds":   func(s *Settings) { s.Classes[0].Hold, s.Classes[1].Hold = 0, 0 },
+		"no worth":     func(s *Settings) { s.Classes[0].Worth, s.Classes[1].Worth = 0, 0 },
+		"no cold rule": func(s *Settings) { s.ColdFor, s.TipAfter = 0, 0 },
+	} {
+		b := quietBed(t, change)
+		for i := 0; i < 3000; i++ {
+			b.step()
+		}
+		for _, p := range b.h.problems {
+			if !strings.Contains(p, "cold") {
+				t.Errorf("%s: %s", name, p)
+				break
+			}
+		}
+	}
+	if got := quietBed(t, nil).call(5, 1, "x"); got != "refuse " {
+		t.Errorf("unknown class: %q", got)
+	}
+}
+
+func TestAbsurdReportsAreUnknown(t *testing.T) {
+	b := quietBed(t, nil)
+	e := b.c.exchange(1, false)
+	b.c.Report(0, Report{Office: "o1", OK: true, Load: []float64{-1, -1, -1}})
+	b.c.Report(0, Report{Office: "o1", OK: true, Load: []float64{1e300, 1e300, 7}})
+	if e.free != 30 || e.total != 30 || e.eps != 0 {
+		t.Errorf("free %d total %d eps %v", e.free, e.total, e.eps)
+	}
+}
