--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,7 +24,7 @@
 	buckets     = int(window / period)
 	twoLegWorth = 0.5  // worth of a two-leg call, which holds circuits on two groups
 	clearWin    = 1.0  // a new split must gain this many of the worthiest calls in a window
-	raise       = 1.1  // tandem weight on a stand
+	raise       = 1.2  // tandem weight on a stand
 	cut         = 0.3  // tandem weight on a turn-back or a full processor
 	floor       = 0.05 // least tandem weight: every tandem is tried now and then
 	smooth      = 0.3  // weight of a new set-up delay in the running mean
