--- a/logic/logic.go
+++ b/logic/logic.go
@@ -500,13 +500,19 @@
 		limit = d
 	}
 	if c.now-since > limit {
-		e.silent, e.silentFrom, e.trialGap = true, since, firstTrial
-		e.nextTrial = c.now + e.trialGap
-		c.host.Log(fmt.Sprintf("silent exchange=%d", e.number))
+		c.mute(e, since)
 	}
 	return e.silent
 }
 
+// mute leaves an exchange to single trials.
+func (c *Controller) mute(e *exchange, since time.Duration) {
+	if !e.silent {
+		e.silent, e.silentFrom, e.trialGap, e.nextTrial = true, since, firstTrial, c.now+firstTrial
+		c.host.Log(fmt.Sprintf("silent exchange=%d", e.number))
+	}
+}
+
 // reachable tells whether a set-up may go to an exchange at all.
 func (c *Controller) reachable(e *exchange) bool {
 	if e == nil || e.office == nil || !c.set.Pools && e.number == c.set.Home {
@@ -776,6 +782,8 @@
 		if !via {
 			c.observe(e, o.Took)
 		}
+	case o.Status == NoConnect: // down or out of reach, whatever the list says
+		c.mute(e, c.now)
 	case o.Status == Faulted && note == NoteBusy:
 		c.hear(e)
 		c.busy(k)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -212,3 +212,17 @@
 		t.Errorf("free %d total %d eps %v", e.free, e.total, e.eps)
 	}
 }
+
+// Guards against a herd of calls toward an office that is down while the list still names it.
+func TestNoConnectionLeavesSingleTrials(t *testing.T) {
+	b := quietBed(t, nil)
+	b.call(0, 1, "a")
+	b.fails(1, NoConnect, 0)
+	if got := b.call(0, 1, "b"); got != "refuse " {
+		t.Errorf("at once after a failed connection: %q", got)
+	}
+	b.h.now += 1100 * time.Millisecond
+	if got := b.call(0, 1, "c"); got != "send 1" {
+		t.Errorf("trial after a second: %q", got)
+	}
+}
