--- a/logic/logic.go
+++ b/logic/logic.go
@@ -561,7 +561,8 @@
 }
 
 // pressed sheds a call where it would not stand in time, least worth first: a set-up that comes late has cost
-// two processors and the circuits, and earns little.
+// two processors and the circuits, and earns little. One direct call at a time tries all the same, so that the
+// end of a jam is seen; a silent exchange gets its trials whatever the age of what is out.
 func (c *Controller) pressed(e *exchange, k *call, twoLeg bool) bool {
 	cl := c.set.Classes[k.Class]
 	part := shedBase
@@ -572,7 +573,7 @@
 		part = twoLegPart
 	}
 	if float64(c.delayOf(e)) > part*float64(cl.Aim) {
-		return twoLeg || !e.silent // a silent exchange gets its single trials whatever the age of what is out
+		return twoLeg || !e.silent && (len(e.out) > 0 || c.late(k))
 	}
 	if eps := e.eps * math.Exp2(-float64(c.now-e.epsAt)/float64(2*halfLife)); eps > 0.02 {
 		return twoLeg || k.Class != c.top && c.rng.Float64() < eps
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -226,3 +226,16 @@
 		t.Errorf("trial after a second: %q", got)
 	}
 }
+
+// Guards against shedding that outlives the jam: one call at a time finds out.
+func TestPressedExchangeIsTriedOneAtATime(t *testing.T) {
+	b := quietBed(t, nil)
+	e := b.c.exchange(1, false)
+	b.c.observe(e, 3*time.Second)
+	if got := b.call(0, 1, "a"); got != "send 1" {
+		t.Errorf("first call: %q", got)
+	}
+	if got := b.call(0, 1, "b"); got != "refuse " {
+		t.Errorf("second call: %q", got)
+	}
+}
