--- a/logic/logic.go
+++ b/logic/logic.go
@@ -573,7 +573,7 @@
 		part = twoLegPart
 	}
 	if float64(c.delayOf(e)) > part*float64(cl.Aim) {
-		return twoLeg || !e.silent && (len(e.out) > 0 || c.late(k))
+		return twoLeg || !e.silent && (len(e.out) > 0 || c.now > k.born+cl.Aim)
 	}
 	if eps := e.eps * math.Exp2(-float64(c.now-e.epsAt)/float64(2*halfLife)); eps > 0.02 {
 		return twoLeg || k.Class != c.top && c.rng.Float64() < eps
