--- a/logic/logic.go
+++ b/logic/logic.go
@@ -560,8 +560,8 @@
 	return math.Max(float64(circuits)/(hold*c.meanWidth()), 1)
 }
 
-// pressed sheds a call where it would not stand in time, least worth first: a set-up that comes late has cost
-// two processors and the circuits, and earns little. One direct call at a time tries all the same, so that the
+// pressed sheds a call where it would not stand in time, least worth first: a late set-up has cost two
+// processors and the circuits, and earns little. One direct call at a time tries all the same, so that the
 // end of a jam is seen; a silent exchange gets its trials whatever the age of what is out.
 func (c *Controller) pressed(e *exchange, k *call, twoLeg bool) bool {
 	cl := c.set.Classes[k.Class]
