--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,6 +35,7 @@
 	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
 	firstTrial  = time.Second
 	lastTrial   = 4 * time.Second
+	comeBack    = 0.25                   // a refused caller is asked to come again after this part of the aim
 	coldUse     = 0.75                   // part of the cold budget that is used steadily,
 	coldBurst   = 0.2                    // and the part that may go at once
 	busyGap     = 250 * time.Millisecond // first pause for a busy number; doubles
@@ -591,7 +592,7 @@
 	}
 	k := &call{Call: in, born: now, due: now + in.TimeLeft - c.margin(), dest: c.exchange(in.Dest, false)}
 	c.calls[in.ID] = k
-	if in.Class < 0 || in.Class >= len(c.set.Classes) || k.dest == nil || now >= k.due {
+	if !c.valid(k) || k.dest == nil || now >= k.due {
 		c.turnAway(k)
 		return
 	}
@@ -856,13 +857,21 @@
 		c.host.Fail(k.ID)
 		return
 	}
-	if !k.Transit && k.Number != "" && k.dest != nil && k.Class >= 0 && k.Class < len(c.mix) {
+	if !k.Transit && k.Number != "" && k.dest != nil && c.valid(k) {
 		n := c.note(k)
 		n.class, n.first = k.Class, k.born
 	}
-	c.host.Refuse(k.ID, 0)
+	// The advice brings a caller back while the aim can still be met.
+	wait := c.set.MaxWait
+	if c.valid(k) {
+		wait = min(wait, time.Duration(comeBack*float64(c.set.Classes[k.Class].Aim)))
+	}
+	c.host.Refuse(k.ID, wait)
 }
 
+// valid tells whether the class of a call is one of the settings'.
+func (c *Controller) valid(k *call) bool { return k.Class >= 0 && k.Class < len(c.set.Classes) }
+
 // HungUp takes the news that the caller has gone.
 func (c *Controller) HungUp(now time.Duration, id uint64) {
 	c.at(now)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -239,3 +239,17 @@
 		t.Errorf("second call: %q", got)
 	}
 }
+
+// Guards against callers who come back only when their aim is past.
+func TestAdvisedWaitLeavesTheAim(t *testing.T) {
+	for _, class := range []int{0, 1} {
+		b := quietBed(t, func(s *Settings) { s.MaxWait = 2 * time.Second })
+		for x := 1; x < 6; x++ {
+			b.report(fmt.Sprintf("o%d", x), 0)
+		}
+		b.call(class, 1, "a")
+		if aim := b.h.set.Classes[class].Aim; b.h.wait <= 0 || b.h.wait > aim/2 {
+			t.Errorf("class %d: advised wait %v, aim %v", class, b.h.wait, aim)
+		}
+	}
+}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -18,6 +18,7 @@
 	out      []uint64 // calls with an attempt out, in the order of the sends
 	acts     []string
 	problems []string
+	wait     time.Duration // the last that was advised
 }
 
 type watched struct {
@@ -114,7 +115,7 @@
 	k.over = true
 }
 
-func (h *checker) Refuse(id uint64, _ time.Duration) { h.end(id, "refuse") }
+func (h *checker) Refuse(id uint64, w time.Duration) { h.wait = w; h.end(id, "refuse") }
 func (h *checker) Fail(id uint64)                    { h.end(id, "fail") }
 func (h *checker) Cancel(id uint64, n int)           { h.act("cancel %d %d", id, n) }
 func (h *checker) Probe(office string)               { h.act("probe %s", office) }
