--- a/logic/logic.go
+++ b/logic/logic.go
@@ -863,7 +863,7 @@
 	}
 	// The advice brings a caller back while the aim can still be met.
 	wait := c.set.MaxWait
-	if c.valid(k) && c.now < k.born+c.set.Classes[k.Class].Aim {
+	if c.valid(k) {
 		wait = min(wait, time.Duration(comeBack*float64(c.set.Classes[k.Class].Aim)))
 	}
 	c.host.Refuse(k.ID, wait)
