--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -24,7 +24,7 @@
 
 func Example() {
 	c, err := logic.New(logic.Settings{
-		Host: printer{}, Instances: 2, Home: 0, MaxAttempts: 3, Tick: 5 * time.Millisecond,
+		Host: printer{}, Instances: 2, Home: 0, MaxAttempts: 3, TellsWait: true, Tick: 5 * time.Millisecond,
 		ReportFields: []string{"spare", "total"},
 		Classes: []logic.Class{{Name: "voice", Worth: 1, Aim: time.Second, Deadline: 9 * time.Second,
 			Hold: 10 * time.Second, Width: 1, Safe: true}},
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -68,12 +68,10 @@
 	office    string
 	sent      time.Duration
 	attempts  int
-	out       bool // an attempt is out
-	stands    bool
-	answered  bool // the final answer is given
-	twoLeg    bool
-	mayRun    bool // an earlier attempt may have run
-	tried     map[int]bool
+	// an attempt is out; it stands; the final answer is given; it goes over a tandem; it may have run
+	out, stands, answered, twoLeg, mayRun bool
+
+	tried map[int]bool
 }
 
 type office struct {
@@ -161,9 +159,7 @@
 	for b := range e.counts {
 		e.counts[b] = make([]float64, len(c.set.Classes)+1)
 	}
-	c.exchanges = append(c.exchanges, nil)
-	copy(c.exchanges[i+1:], c.exchanges[i:])
-	c.exchanges[i] = e
+	c.exchanges = slices.Insert(c.exchanges, i, e)
 	return e
 }
 
@@ -316,7 +312,7 @@
 			l = &loads[0]
 		} else if k == len(c.set.Classes) {
 			l = &loads[2]
-			cl.Worth, width = twoLegWorth*c.meanWorth(), c.meanWidth()
+			cl.Worth, width = twoLegWorth*c.mean(func(k Class) float64 { return k.Worth }), c.meanWidth()
 		}
 		for b := range e.counts {
 			calls += e.counts[b][k]
@@ -327,9 +323,7 @@
 		a := calls * hold * width / span
 		l.worth = (l.worth*l.erlangs + cl.Worth/width*a) / (l.erlangs + a)
 		l.erlangs += a
-	}
-	for k := range loads {
-		loads[k].penalty = loads[k].worth
+		l.penalty = l.worth
 	}
 	score := func(r, d int) float64 { return payoff(n, []int{r, d, 0}, loads) }
 	r, d := min(e.reserve, n), min(e.direct, n-min(e.reserve, n))
@@ -368,8 +362,6 @@
 	return c.mean(func(k Class) float64 { return math.Max(1, float64(k.Width)) })
 }
 
-func (c *Controller) meanWorth() float64 { return c.mean(func(k Class) float64 { return k.Worth }) }
-
 // bucket is the place of the counts of this moment.
 func (c *Controller) bucket() int { return int((c.now - c.birth) / period % time.Duration(buckets)) }
 
@@ -618,8 +610,8 @@
 		c.turnAway(k)
 		return
 	}
-	home := c.exchange(c.set.Home, false)
-	if !c.reachable(k.dest) || home != nil && !c.set.Pools && !c.warm(home) || c.pressed(k.dest, k, false) {
+	if home := c.exchange(c.set.Home, false); !c.reachable(k.dest) || c.pressed(k.dest, k, false) ||
+		home != nil && !c.set.Pools && !c.warm(home) {
 		c.turnAway(k)
 		return
 	}
@@ -632,10 +624,24 @@
 			c.send(k, t, true)
 			return
 		}
+		// Where callers take no advice, the call itself waits that long, once, for a circuit.
+		if pause := c.comeBack(k); !c.set.TellsWait && k.notBefore == 0 && c.calm(k) && c.now+pause < k.due {
+			k.notBefore = c.now + pause
+			c.host.Timer(pause, "c"+strconv.FormatUint(k.ID, 10))
+			return
+		}
 	}
 	c.turnAway(k)
 }
 
+// comeBack is how long a blocked caller or call waits, so that the aim can still be met.
+func (c *Controller) comeBack(k *call) time.Duration {
+	if !c.valid(k) {
+		return 0
+	}
+	return time.Duration(comeBack * float64(c.set.Classes[k.Class].Aim))
+}
+
 // allowed tells whether a pool has the skill for a call; exchanges have it all.
 func (k *call) allowed(c *Controller, e *exchange) bool {
 	pools := c.set.Classes[k.Class].Pools
@@ -658,8 +664,7 @@
 			sum += k.dest.weightOf(e)
 		}
 	}
-	if !c.set.Pools && (float64(c.ownDelay()) > twoLegPart*float64(c.set.Classes[k.Class].Aim) ||
-		c.pressed(k.dest, k, true)) {
+	if !c.set.Pools && !c.calm(k) {
 		return nil
 	}
 	x := c.rng.Float64() * sum
@@ -675,6 +680,11 @@
 	return nil
 }
 
+// calm tells whether the processors have time for more than plain direct calls.
+func (c *Controller) calm(k *call) bool {
+	return float64(c.ownDelay()) <= twoLegPart*float64(c.set.Classes[k.Class].Aim) && !c.pressed(k.dest, k, true)
+}
+
 func (e *exchange) weightOf(t *exchange) float64 {
 	if w, ok := e.weight[t.number]; ok {
 		return w
@@ -861,12 +871,7 @@
 		n := c.note(k)
 		n.class, n.first = k.Class, k.born
 	}
-	// The advice brings a caller back while the aim can still be met.
-	wait := c.set.MaxWait
-	if c.valid(k) {
-		wait = min(wait, time.Duration(comeBack*float64(c.set.Classes[k.Class].Aim)))
-	}
-	c.host.Refuse(k.ID, wait)
+	c.host.Refuse(k.ID, min(c.set.MaxWait, c.comeBack(k)))
 }
 
 // valid tells whether the class of a call is one of the settings'.
@@ -895,13 +900,11 @@
 // Timer takes a timer that was asked for.
 func (c *Controller) Timer(now time.Duration, mark string) {
 	c.at(now)
-	if mark == "p" {
-		c.tick()
-		return
-	}
 	id, err := strconv.ParseUint(strings.TrimPrefix(mark, "c"), 10, 64)
 	k := c.calls[id]
 	switch {
+	case mark == "p":
+		c.tick()
 	case mark == "w":
 		c.host.Watch(true)
 	case err != nil || k == nil || k.answered:
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -253,3 +253,20 @@
 		}
 	}
 }
+
+// Guards against refusing for want of a circuit that comes free in a moment, where callers take no advice.
+func TestBlockedCallWaitsOnce(t *testing.T) {
+	b := quietBed(t, func(s *Settings) { s.TellsWait = false })
+	for x := 1; x < 6; x++ {
+		b.report(fmt.Sprintf("o%d", x), 0)
+	}
+	b.call(0, 1, "a")
+	b.call(0, 2, "b")
+	b.report("o1", 5)
+	b.h.now += 260 * time.Millisecond
+	b.c.Timer(b.h.now, "c1")
+	b.c.Timer(b.h.now, "c2")
+	if !b.h.calls[1].out || !b.h.calls[2].over {
+		t.Errorf("freed circuit used: %v; other call refused after its wait: %v", b.h.calls[1].out, b.h.calls[2].over)
+	}
+}
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -139,7 +139,7 @@
 const testCapacity = 5 * 30 / 10.0 // five groups of 30 circuits, held for 10 s
 
 func testSettings() Settings {
-	return Settings{Me: 0, Instances: 6, Home: 0, MaxAttempts: 3, CanCancel: true, Tick: 5 * time.Millisecond,
+	return Settings{Me: 0, Instances: 6, Home: 0, MaxAttempts: 3, CanCancel: true, TellsWait: true, Tick: 5 * time.Millisecond,
 		ReportFields: []string{"spare", "total", "cut_by"}, Release: 200 * time.Millisecond, DrainGrace: time.Second,
 		TipAfter: 3 * time.Second, Overload: 2, ColdFrom: 0.3, ColdFor: 15 * time.Second,
 		Classes: []Class{
@@ -275,12 +275,14 @@
 
 func TestRulesOnRandomEvents(t *testing.T) {
 	for seed := int64(1); seed <= 12; seed++ {
-		b := newBed(t, testSettings(), seed)
+		set := testSettings()
+		set.TellsWait = seed%2 == 0
+		b := newBed(t, set, seed)
 		for i := 0; i < 12000; i++ {
 			b.step()
 			if i%4000 == 3999 { // killed and started again: what it held is the callers' to try again
 				b.h.calls, b.h.out, b.h.timers = map[uint64]*watched{}, nil, nil
-				b.start(t, testSettings())
+				b.start(t, set)
 			}
 		}
 		if len(b.h.problems) > 0 {
