--- a/logic/logic.go
+++ b/logic/logic.go
@@ -320,6 +320,9 @@
 		if calls == 0 {
 			continue
 		}
+		if cl.Hold > 0 {
+			width *= cl.Hold.Seconds() / hold // what a call takes of a group is circuits x time
+		}
 		a := calls * hold * width / span
 		l.worth = (l.worth*l.erlangs + cl.Worth/width*a) / (l.erlangs + a)
 		l.erlangs += a
@@ -682,7 +685,8 @@
 
 // calm tells whether the processors have time for more than plain direct calls.
 func (c *Controller) calm(k *call) bool {
-	return float64(c.ownDelay()) <= twoLegPart*float64(c.set.Classes[k.Class].Aim) && !c.pressed(k.dest, k, true)
+	limit := time.Duration(twoLegPart * float64(c.set.Classes[k.Class].Aim))
+	return c.ownDelay() <= limit && !c.pressed(k.dest, k, true)
 }
 
 func (e *exchange) weightOf(t *exchange) float64 {
@@ -732,9 +736,7 @@
 
 // settle takes an attempt off the books of the attempts that wait for an answer.
 func (k *call) settle() {
-	if i := slices.Index(k.at.out, k); i >= 0 {
-		k.at.out = slices.Delete(k.at.out, i, i+1)
-	}
+	k.at.out = slices.DeleteFunc(k.at.out, func(o *call) bool { return o == k })
 }
 
 // Stands takes the news that a call stands.
@@ -901,8 +903,7 @@
 func (c *Controller) Timer(now time.Duration, mark string) {
 	c.at(now)
 	id, err := strconv.ParseUint(strings.TrimPrefix(mark, "c"), 10, 64)
-	k := c.calls[id]
-	switch {
+	switch k := c.calls[id]; {
 	case mark == "p":
 		c.tick()
 	case mark == "w":
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -270,3 +270,19 @@
 		t.Errorf("freed circuit used: %v; other call refused after its wait: %v", b.h.calls[1].out, b.h.calls[2].over)
 	}
 }
+
+// Guards against a reserve sized as if short calls of the worthiest class held circuits as long as the others.
+func TestShortHoldsNeedLessReserve(t *testing.T) {
+	reserve := func(hold time.Duration) int {
+		b := quietBed(t, func(s *Settings) { s.Classes[1].Hold = hold })
+		e := b.c.exchange(1, false)
+		e.counts[0][0], e.counts[0][1] = 60, 24
+		b.h.now = b.c.birth + window
+		b.c.now = b.h.now
+		b.c.rescore(e)
+		return e.reserve
+	}
+	if long, short := reserve(10*time.Second), reserve(3*time.Second); short >= long || short == 0 {
+		t.Errorf("reserve %d with short holds, %d with long ones", short, long)
+	}
+}
