--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,6 +38,7 @@
 	comeBack    = 0.25                   // a refused caller is asked to come again after this part of the aim
 	coldUse     = 0.75                   // part of the cold budget that is used steadily,
 	coldBurst   = 0.2                    // and the part that may go at once
+	headroom    = 4.0 / 3                // a processor turns over its groups in three quarters of its time
 	busyGap     = 250 * time.Millisecond // first pause for a busy number; doubles
 	busyGapMost = 2 * time.Second
 )
@@ -541,19 +542,18 @@
 	}
 	tip := c.set.TipAfter.Seconds()
 	depth := math.Max(1, budget*tip*coldBurst)
-	e.tokens = math.Min(depth, e.tokens+(c.now-e.tokensAt).Seconds()*budget*coldUse)
-	e.tokensAt = c.now
+	e.tokens, e.tokensAt = math.Min(depth, e.tokens+(c.now-e.tokensAt).Seconds()*budget*coldUse), c.now
 	return e.tokens >= 1
 }
 
-// capacity guesses the set-ups a second of a processor of our size: what the own groups turn over when full.
+// capacity guesses the set-ups a second of a processor of our size, from what full own groups turn over.
 func (c *Controller) capacity() float64 {
 	circuits := 0
 	for _, e := range c.exchanges {
 		circuits += max(0, e.total)
 	}
 	hold := math.Max(c.meanHold().Seconds(), 0.1)
-	return math.Max(float64(circuits)/(hold*c.meanWidth()), 1)
+	return math.Max(headroom*float64(circuits)/(hold*c.meanWidth()), 1)
 }
 
 // pressed sheds a call where it would not stand in time, least worth first: a late set-up has cost two
