--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,7 @@
 	floor       = 0.05 // least tandem weight: every tandem is tried now and then
 	smooth      = 0.3  // weight of a new set-up delay in the running mean
 	halfLife    = time.Second
-	shedBase    = 0.3 // a call of no worth is shed where the delay passes this part of its aim,
+	shedBase    = 0.2 // a call of no worth is shed where the delay passes this part of its aim,
 	shedWorth   = 0.5 // and the worthiest at this much more
 	twoLegPart  = 0.2 // two-leg calls only where delays are under this part of the aim
 	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
