--- a/logic/logic.go
+++ b/logic/logic.go
@@ -488,14 +488,8 @@
 	if e.silent || len(e.out) == 0 {
 		return e.silent
 	}
-	since := e.out[0].sent
-	if e.heard > since {
-		since = e.heard
-	}
-	limit := time.Duration(silentPart * float64(c.aim))
-	if d := 4 * e.delay; d > limit {
-		limit = d
-	}
+	since := max(e.out[0].sent, e.heard)
+	limit := max(time.Duration(silentPart*float64(c.aim)), 4*e.delay)
 	if c.now-since > limit {
 		c.mute(e, since)
 	}
@@ -664,7 +658,7 @@
 		if e != k.dest && !k.tried[e.number] && k.allowed(c, e) && c.reachable(e) && !e.silent &&
 			e.free >= 0 && c.fits(e, k, true) && !c.pressed(e, k, true) {
 			fit = append(fit, e)
-			sum += k.dest.weightOf(e)
+			sum += k.dest.weightOf(e, k.Via)
 		}
 	}
 	if !c.set.Pools && !c.calm(k) {
@@ -674,7 +668,7 @@
 	for _, e := range fit {
 		// The weight is also the chance that the drawn tandem is tried at all: where turn-backs have cut it,
 		// the second leg is short of circuits, and a try would cost three processors for nothing.
-		if x -= k.dest.weightOf(e); x <= 0 && c.rng.Float64() < k.dest.weightOf(e) {
+		if x -= k.dest.weightOf(e, k.Via); x <= 0 && c.rng.Float64() < k.dest.weightOf(e, k.Via) {
 			return e
 		} else if x <= 0 {
 			return nil
@@ -689,15 +683,20 @@
 	return c.ownDelay() <= limit && !c.pressed(k.dest, k, true)
 }
 
-func (e *exchange) weightOf(t *exchange) float64 {
-	if w, ok := e.weight[t.number]; ok {
-		return w
+// weightOf is the weight of a tandem; the one a centre advises counts twice, since stale advice beats none.
+func (e *exchange) weightOf(t *exchange, advised int) float64 {
+	w, ok := e.weight[t.number]
+	if !ok {
+		w = 0.4
+	}
+	if advised == t.number {
+		w = math.Min(1, 2*w)
 	}
-	return 0.4
+	return w
 }
 
 func (e *exchange) reweigh(t *exchange, by float64) {
-	e.weight[t.number] = math.Min(1, math.Max(floor, e.weightOf(t)*by))
+	e.weight[t.number] = math.Min(1, math.Max(floor, e.weightOf(t, -1)*by))
 }
 
 // send starts an attempt; there is never another one out (rule 2).
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -286,3 +286,11 @@
 		t.Errorf("reserve %d with short holds, %d with long ones", short, long)
 	}
 }
+
+func TestAdvisedTandemCountsTwice(t *testing.T) {
+	b := quietBed(t, nil)
+	e, f := b.c.exchange(1, false), b.c.exchange(2, false)
+	if plain, advised := e.weightOf(f, -1), e.weightOf(f, 2); advised != 2*plain {
+		t.Errorf("weight %v, advised %v", plain, advised)
+	}
+}
