--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,9 +1,8 @@
 // Package logic decides for one call server: admit a call, send it direct or over a tandem, wait, try again,
 // or refuse it. Settings, events and actions are in interface.go; every decision and tuned value is here.
 //
-// The ordinary path is the dynamic-threshold rule of Chen and Chen (sections 3.3 and 3.4) on each own trunk
-// group: a reserve for the worthiest class, filled first, and a shared rest, split anew each period by
-// Equation 6. Around it stand guards, each with the danger it blocks. docs/DESIGN.md tells what is kept.
+// The ordinary path is the dynamic-threshold rule of Chen and Chen (sections 3.3, 3.4) on each own group:
+// parts split anew each period by Equation 6. Guards stand around it. docs/DESIGN.md tells what is kept.
 package logic
 
 import (
@@ -23,15 +22,17 @@
 	window      = 30 * time.Second // counts that they are scored on
 	buckets     = int(window / period)
 	twoLegWorth = 0.5  // worth of a two-leg call, which holds circuits on two groups
-	clearWin    = 1.0  // a new split must gain this many of the worthiest calls in a window
+	clearWin    = 0.02 // a new split must gain this part of the worth offered to the group
+	prior       = 4.0  // calls that the common picture counts for: traffic misses its plan by about half
 	raise       = 1.2  // tandem weight on a stand
 	cut         = 0.3  // tandem weight on a turn-back or a full processor
 	floor       = 0.05 // least tandem weight: every tandem is tried now and then
+	pool        = 0.1  // weight of a new outcome in what is learnt of all pairs together
+	draws       = 4    // tandems looked at for a blocked call
 	smooth      = 0.3  // weight of a new set-up delay in the running mean
 	halfLife    = time.Second
-	shedBase    = 0.2 // a call of no worth is shed where the delay passes this part of its aim,
+	shedBase    = 0.2 // a two-leg call or one of no worth is shed past this part of its aim,
 	shedWorth   = 0.5 // and the worthiest at this much more
-	twoLegPart  = 0.2 // two-leg calls only where delays are under this part of the aim
 	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
 	firstTrial  = time.Second
 	lastTrial   = 4 * time.Second
@@ -58,7 +59,11 @@
 	topWorth       float64
 	aim            time.Duration // the shortest aim
 	spare, sz, eps int           // places in reports; -1 absent
-	mix            []float64     // calls seen by class
+	counts         counts        // of all groups; the last class is blocked calls that looked for a tandem
+	own, ownAt     time.Duration
+	waiting        int     // attempts out without an answer
+	trust, ease    float64 // shares of the advised and of the drawn tandems that stood
+	circuits       int     // of all own groups
 }
 
 type call struct {
@@ -69,10 +74,10 @@
 	office    string
 	sent      time.Duration
 	attempts  int
+	part      int // what it counts in of the group's use: its class, or the lowest for two-leg calls
 	// an attempt is out; it stands; the final answer is given; it goes over a tandem; it may have run
 	out, stands, answered, twoLeg, mayRun bool
-
-	tried map[int]bool
+	tried                                 []*exchange
 }
 
 type office struct {
@@ -83,23 +88,23 @@
 // exchange is what is known of one exchange and of the own trunk group toward it.
 type exchange struct {
 	number              int
+	offices             []*office
 	office              *office // gets new calls; nil: none
 	free, total         int     // circuits of the group; -1 unknown
+	held                int     // of them by own calls
 	used                []int   // circuits of own calls by class; the last for two-leg calls
-	counts              [buckets][]float64
+	counts              counts
 	reserve, direct     int     // parts for the worthiest class, and for direct calls of any class
 	others              float64 // mean circuits in use that are not of own calls
 	weight              map[int]float64
 	out                 []*call
-	silent              bool
+	silent, cold        bool
 	heard, silentFrom   time.Duration
 	nextTrial, trialGap time.Duration
 	delay, delayAt      time.Duration
-	eps                 float64
+	eps, tokens         float64
 	epsAt               time.Duration
-	cold                bool
 	coldAt, tokensAt    time.Duration
-	tokens              float64
 }
 
 // number is what is remembered of a number called.
@@ -115,7 +120,8 @@
 		return nil, err
 	}
 	c := &Controller{set: s, host: s.Host, rng: rand.New(rand.NewSource(seed)), calls: map[uint64]*call{},
-		offices: map[string]*office{}, numbers: map[string]*number{}, mix: make([]float64, len(s.Classes))}
+		offices: map[string]*office{}, numbers: map[string]*number{}, counts: newCounts(len(s.Classes)),
+		trust: 1, ease: 0.5}
 	for i, k := range s.Classes {
 		if k.Worth > c.topWorth {
 			c.top, c.topWorth = i, k.Worth
@@ -141,9 +147,6 @@
 	}
 }
 
-// margin leaves two batches for an answer before the caller's time is up.
-func (c *Controller) margin() time.Duration { return 2*c.set.Tick + time.Millisecond }
-
 // ---- The list of exchanges
 
 // exchange finds an exchange by number; with add it is made.
@@ -156,10 +159,8 @@
 		return nil
 	}
 	e := &exchange{number: n, free: -1, total: -1, used: make([]int, len(c.set.Classes)+1),
-		weight: map[int]float64{}, heard: -time.Hour, delayAt: -time.Hour, epsAt: -time.Hour}
-	for b := range e.counts {
-		e.counts[b] = make([]float64, len(c.set.Classes)+1)
-	}
+		weight: map[int]float64{}, counts: newCounts(len(c.set.Classes)), heard: -time.Hour,
+		delayAt: -time.Hour, epsAt: -time.Hour}
 	c.exchanges = slices.Insert(c.exchanges, i, e)
 	return e
 }
@@ -176,28 +177,32 @@
 	named := map[string]bool{}
 	for _, o := range list {
 		named[o.ID] = true
-		c.enlist(o)
+		c.choose(c.enlist(o))
 	}
-	if kind != ListUpdate {
-		for id, o := range c.offices {
-			if !named[id] {
+	for _, e := range c.exchanges {
+		for _, o := range e.offices {
+			if kind != ListUpdate && !named[o.ID] && o.State != Gone {
 				o.State = Gone
+				c.choose(e)
 			}
 		}
 	}
-	for _, e := range c.exchanges {
-		c.choose(e)
-	}
 	c.listed = true
 }
 
-func (c *Controller) enlist(o Office) {
-	known := c.offices[o.ID]
+// enlist takes an entry of the list. An office may move to another exchange.
+func (c *Controller) enlist(o Office) *exchange {
+	known, e := c.offices[o.ID], c.exchange(o.Exchange, true)
 	fresh := known == nil || known.Started != o.Started || known.State == Gone && o.State == Ready
 	if known == nil {
-		known = &office{cold: -1}
+		known = &office{Office: o, cold: -1}
 		c.offices[o.ID] = known
-		c.exchange(o.Exchange, true)
+		e.offices = append(e.offices, known)
+	} else if known.Exchange != o.Exchange {
+		from := c.exchange(known.Exchange, true)
+		from.offices = slices.DeleteFunc(from.offices, func(x *office) bool { return x == known })
+		e.offices = append(e.offices, known)
+		c.choose(from)
 	}
 	known.Office = o
 	if fresh && o.Started > 0 && c.now-o.Started < c.set.ColdFor {
@@ -205,14 +210,15 @@
 	} else if fresh && c.listed {
 		known.cold = c.now
 	}
+	return e
 }
 
 // choose gives an exchange the newest of its ready offices.
 func (c *Controller) choose(e *exchange) {
 	var best *office
-	for _, o := range c.offices { // a maximum, so the order of the map does not matter
-		if o.Exchange == e.number && o.State == Ready &&
-			(best == nil || o.Started > best.Started || o.Started == best.Started && o.ID < best.ID) {
+	for _, o := range e.offices {
+		if o.State == Ready && (best == nil || o.Started > best.Started ||
+			o.Started == best.Started && o.ID < best.ID) {
 			best = o
 		}
 	}
@@ -229,8 +235,6 @@
 	c.host.Log(fmt.Sprintf("cold exchange=%d", e.number))
 }
 
-// ---- Reports
-
 // Report takes the state of an own group, and of the far processor where it tells.
 func (c *Controller) Report(now time.Duration, r Report) {
 	c.at(now)
@@ -251,6 +255,7 @@
 		e.free = int(v)
 	}
 	if v, ok := get(c.sz); ok {
+		c.circuits += int(v) - max(0, e.total)
 		e.total = int(v)
 	}
 	if v, ok := get(c.eps); ok && v <= 1 {
@@ -298,36 +303,35 @@
 	return total + (1-b)*earn - b*lose
 }
 
-// rescore picks the reserve of the worthiest class on a group, once a period.
+// counts are the calls offered in the window, by period and class; the last class is the two-leg calls.
+type counts [buckets][]float64
+
+func newCounts(classes int) (n counts) {
+	for b := range n {
+		n[b] = make([]float64, classes+1)
+	}
+	return n
+}
+
+func (n *counts) of(class int) (sum float64) {
+	for b := range n {
+		sum += n[b][class]
+	}
+	return sum
+}
+
+// bucket is the place of the counts of this moment.
+func (c *Controller) bucket() int { return int((c.now - c.birth) / period % time.Duration(buckets)) }
+
+// rescore picks the parts of a group, once a period.
 func (c *Controller) rescore(e *exchange) {
 	n := e.total - int(e.others+0.5) // the far end's use is not ours to split
 	if e.total <= 0 || n < 1 {
 		return
 	}
-	span := math.Min(window.Seconds(), (c.now - c.birth).Seconds())
-	// Three loads are split: the worthiest class, the other direct calls, and the two-leg calls.
-	loads, hold := make([]load, 3), c.meanHold().Seconds()
-	for k, cl := range append(c.set.Classes, Class{Worth: c.topWorth * twoLegWorth, Width: 1}) {
-		l, calls, width := &loads[1], 0.0, math.Max(1, float64(cl.Width))
-		if k == c.top {
-			l = &loads[0]
-		} else if k == len(c.set.Classes) {
-			l = &loads[2]
-			cl.Worth, width = twoLegWorth*c.mean(func(k Class) float64 { return k.Worth }), c.meanWidth()
-		}
-		for b := range e.counts {
-			calls += e.counts[b][k]
-		}
-		if calls == 0 {
-			continue
-		}
-		if cl.Hold > 0 {
-			width *= cl.Hold.Seconds() / hold // what a call takes of a group is circuits x time
-		}
-		a := calls * hold * width / span
-		l.worth = (l.worth*l.erlangs + cl.Worth/width*a) / (l.erlangs + a)
-		l.erlangs += a
-		l.penalty = l.worth
+	loads, offered := c.loads(e), 0.0
+	for _, l := range loads {
+		offered += l.erlangs * l.worth
 	}
 	score := func(r, d int) float64 { return payoff(n, []int{r, d, 0}, loads) }
 	r, d := min(e.reserve, n), min(e.direct, n-min(e.reserve, n))
@@ -340,19 +344,54 @@
 			}
 		}
 	}
-	// Payoff is per mean hold: a clear win gains whole calls of the worthiest class within a window.
-	if (best-old)*window.Seconds()/math.Max(hold, 0.001) > clearWin*c.topWorth {
+	if best-old > clearWin*offered {
 		c.host.Log(fmt.Sprintf("split exchange=%d reserve=%d direct=%d of=%d", e.number, r, d, n))
 		e.reserve, e.direct = r, d
 	}
 }
 
+// loads is what is offered to a group: the worthiest class, the other direct calls, the two-leg calls. A thin
+// group sees a handful of calls in a window and a split on those alone jumps on noise, so its own counts are
+// weighed against what all groups saw: as many calls as its circuits were planned for, in the common mix.
+func (c *Controller) loads(e *exchange) []load {
+	out, last, fleet, own := make([]load, 3), len(c.set.Classes), 0.0, 0.0
+	for k := range c.set.Classes {
+		fleet += c.counts.of(k)
+		own += e.counts.of(k)
+	}
+	span, hold := math.Min(window.Seconds(), (c.now-c.birth).Seconds()), c.meanHold().Seconds()
+	plan := fleet * float64(e.total) / float64(c.circuits)
+	for k := 0; k <= last && fleet > 0 && span > 0; k++ {
+		l, cl, calls, width := &out[1], Class{}, 0.0, c.meanWidth()
+		if k == last { // a blocked call is offered to the groups alike, also where none takes it
+			cl.Worth = twoLegWorth * c.mean(func(k Class) float64 { return k.Worth })
+			l, calls = &out[2], e.counts.of(k)+c.counts.of(k)/math.Max(1, float64(len(c.exchanges)-1))
+		} else {
+			cl = c.set.Classes[k]
+			width = math.Max(1, float64(cl.Width))
+			calls = (e.counts.of(k) + prior*c.counts.of(k)/fleet) * plan / (plan + prior)
+		}
+		if k == c.top {
+			l = &out[0]
+		}
+		if cl.Hold > 0 && hold > 0 {
+			width *= cl.Hold.Seconds() / hold // what a call takes of a group is circuits x time
+		}
+		if a := calls * hold * width / span; a > 0 {
+			l.worth = (l.worth*l.erlangs + cl.Worth/width*a) / (l.erlangs + a)
+			l.erlangs += a
+			l.penalty = l.worth
+		}
+	}
+	return out
+}
+
 // mean weighs a value of the classes by the calls seen.
 func (c *Controller) mean(of func(Class) float64) float64 {
 	sum, n := 0.0, 0.0
 	for i, k := range c.set.Classes {
-		sum += (c.mix[i] + 1) * of(k)
-		n += c.mix[i] + 1
+		sum += (c.counts.of(i) + 1) * of(k)
+		n += c.counts.of(i) + 1
 	}
 	return sum / n
 }
@@ -366,9 +405,6 @@
 	return c.mean(func(k Class) float64 { return math.Max(1, float64(k.Width)) })
 }
 
-// bucket is the place of the counts of this moment.
-func (c *Controller) bucket() int { return int((c.now - c.birth) / period % time.Duration(buckets)) }
-
 // place finds out whether a call is a redial, and counts it for the split if it is not: the same demand
 // counted again would swell the reserve with how hard callers redial. A redial's aim runs from its first try.
 func (c *Controller) place(k *call) {
@@ -377,16 +413,17 @@
 	if n != nil && n.first > 0 && n.class == k.Class && !k.WasCut && c.now-n.first < patience {
 		k.born = n.first
 	} else if !k.Again {
-		c.mix[k.Class]++
 		k.dest.counts[c.bucket()][k.Class]++
+		if k.dest.total > 0 {
+			c.counts[c.bucket()][k.Class]++
+		}
 		return
 	}
 	k.dest.counts[c.bucket()][len(c.set.Classes)]++
 }
 
-// late tells whether a call would stand after its aim. It earns little then, and takes the circuits and
-// processors from calls in time: such calls join the two-leg calls in the lowest class. The danger is the
-// wave of redials that any shortage brings, whatever its cause.
+// late tells whether a call would stand after its aim: it joins the two-leg calls in the lowest class. The
+// danger is the wave of redials that any shortage brings: they earn little and keep out calls in time.
 func (c *Controller) late(k *call) bool {
 	return !k.Transit && c.now+c.delayOf(k.dest) > k.born+c.set.Classes[k.Class].Aim
 }
@@ -394,14 +431,11 @@
 // tick is the work of each period.
 func (c *Controller) tick() {
 	for _, e := range c.exchanges {
-		own := 0
-		for _, u := range e.used {
-			own += u
-		}
-		e.others += smooth * (math.Max(0, float64(e.total-max(e.free, 0)-own)) - e.others)
+		e.others += smooth * (math.Max(0, float64(e.total-max(e.free, 0)-e.held)) - e.others)
 		c.rescore(e)
 		clear(e.counts[c.bucket()])
 	}
+	clear(c.counts[c.bucket()])
 	for id, n := range c.numbers {
 		if c.now-n.first > c.set.Classes[n.class].Deadline && c.now > n.busyUntil+busyGapMost {
 			delete(c.numbers, id)
@@ -416,10 +450,7 @@
 	if e.free < 0 {
 		return true // not told yet: the outcome will tell
 	}
-	room, own := e.free, 0
-	for _, u := range e.used[:len(c.set.Classes)] {
-		own += u
-	}
+	room, own := e.free, e.held-e.used[len(c.set.Classes)]
 	if lowest || k.Class != c.top {
 		room -= max(0, e.reserve-e.used[c.top])
 	}
@@ -443,30 +474,25 @@
 	return d
 }
 
-// ownDelay is the delay that all exchanges share, and so most likely that of the own processor.
+// ownDelay is the delay that all answers share, and so most likely that of the own processor: it falls to
+// each quicker one and climbs slowly. In a large fleet each exchange answers too seldom to tell it alone.
 func (c *Controller) ownDelay() time.Duration {
-	least, seen := time.Duration(0), 0
-	for _, e := range c.exchanges {
-		if c.now-e.delayAt < 2*halfLife {
-			if d := c.delayOf(e); seen == 0 || d < least {
-				least = d
-			}
-			seen++
-		}
-	}
-	if seen < 2 {
+	if c.now-c.ownAt > 2*halfLife {
 		return 0
 	}
-	return least
+	return c.own
 }
 
-// observe takes a set-up delay.
-func (c *Controller) observe(e *exchange, d time.Duration) {
-	old := float64(c.delayOf(e))
+// observe takes the set-up delay of a direct call, or what an answer tells of an exchange's own delay.
+func (c *Controller) observe(e *exchange, d time.Duration, direct bool) {
+	if own := c.ownDelay(); direct {
+		c.own, c.ownAt = min(d, own+time.Duration(pool*float64(d-own))), c.now
+	}
+	old := c.delayOf(e)
 	if c.now-e.delayAt > 4*halfLife {
-		old = float64(d)
+		old = d
 	}
-	e.delay, e.delayAt = time.Duration(old+smooth*(float64(d)-old)), c.now
+	e.delay, e.delayAt = old+time.Duration(smooth*float64(d-old)), c.now
 }
 
 // hear notes a sign of life. A return after a long silence is taken for a cold start: the danger is the herd
@@ -482,8 +508,7 @@
 }
 
 // quiet tells whether an exchange has gone silent: something is out and nothing came back for far longer than
-// set-ups take. Whatever the cause (hung, vanished, cut off, gone while the list still names it), the danger
-// is that calls and circuits pile up behind it; so only single trials go there, at growing gaps.
+// set-ups take. Calls and circuits would pile up behind it; so only single trials go there, at growing gaps.
 func (c *Controller) quiet(e *exchange) bool {
 	if e.silent || len(e.out) == 0 {
 		return e.silent
@@ -530,7 +555,10 @@
 	if late := age - c.set.TipAfter; late > 0 && c.set.ColdFor > 0 {
 		ramp += (1 - ramp) * float64(late) / float64(c.set.ColdFor)
 	}
-	budget := c.set.Overload * ramp * c.capacity() / float64(c.set.Instances)
+	// The set-ups a second of a processor of our size are guessed from what full own groups turn over.
+	hold := math.Max(c.meanHold().Seconds(), 0.1)
+	capacity := math.Max(headroom*float64(c.circuits)/(hold*c.meanWidth()), 1)
+	budget := c.set.Overload * ramp * capacity / float64(c.set.Instances)
 	if e.number == c.set.Home && !c.set.Pools { // its own calls are half of the work of a processor
 		budget *= math.Max(1, float64(c.set.Instances)/2)
 	}
@@ -540,27 +568,17 @@
 	return e.tokens >= 1
 }
 
-// capacity guesses the set-ups a second of a processor of our size, from what full own groups turn over.
-func (c *Controller) capacity() float64 {
-	circuits := 0
-	for _, e := range c.exchanges {
-		circuits += max(0, e.total)
-	}
-	hold := math.Max(c.meanHold().Seconds(), 0.1)
-	return math.Max(headroom*float64(circuits)/(hold*c.meanWidth()), 1)
-}
-
 // pressed sheds a call where it would not stand in time, least worth first: a late set-up has cost two
 // processors and the circuits, and earns little. One direct call at a time tries all the same, so that the
 // end of a jam is seen; a silent exchange gets its trials whatever the age of what is out.
 func (c *Controller) pressed(e *exchange, k *call, twoLeg bool) bool {
 	cl := c.set.Classes[k.Class]
 	part := shedBase
-	if c.topWorth > 0 && !c.late(k) {
+	if !twoLeg && c.topWorth > 0 && !c.late(k) {
 		part += shedWorth * cl.Worth / c.topWorth
 	}
-	if twoLeg {
-		part = twoLegPart
+	if float64(c.ownDelay()) > part*float64(cl.Aim) {
+		return twoLeg || c.waiting > 0
 	}
 	if float64(c.delayOf(e)) > part*float64(cl.Aim) {
 		return twoLeg || !e.silent && (len(e.out) > 0 || c.now > k.born+cl.Aim)
@@ -579,12 +597,14 @@
 	if c.calls[in.ID] != nil {
 		return
 	}
-	k := &call{Call: in, born: now, due: now + in.TimeLeft - c.margin(), dest: c.exchange(in.Dest, false)}
-	c.calls[in.ID] = k
-	if !c.valid(k) || k.dest == nil || now >= k.due {
-		c.turnAway(k)
+	// Two batches are left for an answer before the caller's time is up.
+	due := now + in.TimeLeft - 2*c.set.Tick - time.Millisecond
+	k := &call{Call: in, born: now, due: due, dest: c.exchange(in.Dest, false)}
+	if k.Class < 0 || k.Class >= len(c.set.Classes) || k.dest == nil || now >= due {
+		c.host.Refuse(k.ID, 0)
 		return
 	}
+	c.calls[in.ID] = k
 	if k.Width <= 0 {
 		k.Width = c.set.Classes[k.Class].Width
 	}
@@ -600,103 +620,88 @@
 
 // route sends a call, or turns it away.
 func (c *Controller) route(k *call) {
-	n := c.numbers[k.Number]
-	// A busy number: one call at a time learns whether a line is free, the others spare the processors.
-	if !k.Transit && n != nil && c.now < n.busyUntil ||
-		c.set.MaxAttempts > 0 && k.attempts >= c.set.MaxAttempts || k.mayRun && !c.set.Classes[k.Class].Safe {
-		c.turnAway(k)
-		return
-	}
-	if home := c.exchange(c.set.Home, false); !c.reachable(k.dest) || c.pressed(k.dest, k, false) ||
-		home != nil && !c.set.Pools && !c.warm(home) {
+	if e, twoLeg := c.pick(k); e != nil {
+		c.send(k, e, twoLeg)
+	} else {
 		c.turnAway(k)
-		return
-	}
-	if k.allowed(c, k.dest) && !k.tried[k.dest.number] && c.fits(k.dest, k, k.Transit || c.late(k)) {
-		c.send(k, k.dest, k.Transit)
-		return
 	}
-	if !k.Transit && !c.late(k) && !(n != nil && n.gap > 0) {
-		if t := c.tandem(k); t != nil {
-			c.send(k, t, true)
-			return
-		}
-		// Where callers take no advice, the call itself waits that long, once, for a circuit.
-		if pause := c.comeBack(k); !c.set.TellsWait && k.notBefore == 0 && c.calm(k) && c.now+pause < k.due {
-			k.notBefore = c.now + pause
-			c.host.Timer(pause, "c"+strconv.FormatUint(k.ID, 10))
-			return
-		}
-	}
-	c.turnAway(k)
 }
 
-// comeBack is how long a blocked caller or call waits, so that the aim can still be met.
-func (c *Controller) comeBack(k *call) time.Duration {
-	if !c.valid(k) {
-		return 0
+// pick finds where a call may go now, and whether that is over a tandem.
+func (c *Controller) pick(k *call) (*exchange, bool) {
+	n, home := c.numbers[k.Number], c.exchange(c.set.Home, false)
+	switch {
+	// A busy number: one call at a time learns whether a line is free, the others spare the processors.
+	case !k.Transit && n != nil && c.now < n.busyUntil:
+	case c.set.MaxAttempts > 0 && k.attempts >= c.set.MaxAttempts || k.mayRun && !c.set.Classes[k.Class].Safe:
+	case !c.reachable(k.dest) || home != nil && !c.set.Pools && !c.warm(home) || c.pressed(k.dest, k, false):
+	case k.allowed(c, k.dest) && c.fits(k.dest, k, k.Transit || c.late(k)):
+		return k.dest, k.Transit
+	case !k.Transit && !c.late(k) && !(n != nil && n.gap > 0):
+		return c.tandem(k), true
 	}
-	return time.Duration(comeBack * float64(c.set.Classes[k.Class].Aim))
+	return nil, false
 }
 
-// allowed tells whether a pool has the skill for a call; exchanges have it all.
+// allowed tells whether a call may try an exchange: not twice, and of pools only those with its skill.
 func (k *call) allowed(c *Controller, e *exchange) bool {
-	pools := c.set.Classes[k.Class].Pools
-	return !c.set.Pools || len(pools) == 0 || slices.Contains(pools, e.number)
+	skilled := c.set.Classes[k.Class].Pools
+	return !slices.Contains(k.tried, e) &&
+		(!c.set.Pools || len(skilled) == 0 || slices.Contains(skilled, e.number))
 }
 
-// tandem draws a tandem (a pool of second choice) by the weights learnt for the destination.
+// tandem draws a tandem (a pool of second choice) by the weights learnt for the destination. The one that a
+// centre advises for this call goes first, as often as advice has lately stood: a fleet has far more pairs of
+// destination and tandem than blocked calls to learn from, and the centre has seen the second leg.
 func (c *Controller) tandem(k *call) *exchange {
-	var fit []*exchange
-	sum := 0.0
-	for _, e := range c.exchanges { // offered to the groups alike, also where none takes it
-		if e != k.dest && e.number != c.set.Home && k.attempts == 0 {
-			e.counts[c.bucket()][len(c.set.Classes)] += 1 / math.Max(1, float64(len(c.exchanges)-2))
-		}
-	}
-	for _, e := range c.exchanges {
-		if e != k.dest && !k.tried[e.number] && k.allowed(c, e) && c.reachable(e) && !e.silent &&
-			e.free >= 0 && c.fits(e, k, true) && !c.pressed(e, k, true) {
-			fit = append(fit, e)
-			sum += k.dest.weightOf(e, k.Via)
-		}
+	if k.attempts == 0 {
+		c.counts[c.bucket()][len(c.set.Classes)]++
 	}
-	if !c.set.Pools && !c.calm(k) {
+	if !c.set.Pools && c.pressed(k.dest, k, true) {
 		return nil
 	}
-	x := c.rng.Float64() * sum
-	for _, e := range fit {
-		// The weight is also the chance that the drawn tandem is tried at all: where turn-backs have cut it,
-		// the second leg is short of circuits, and a try would cost three processors for nothing.
-		if x -= k.dest.weightOf(e, k.Via); x <= 0 && c.rng.Float64() < k.dest.weightOf(e, k.Via) {
-			return e
-		} else if x <= 0 {
-			return nil
+	if t := c.exchange(k.Via, false); c.usable(t, k) && c.rng.Float64() < c.trust {
+		return t
+	}
+	var best *exchange
+	// A draw falls on each alike and is kept with the chance of its weight: where turn-backs have cut it, the
+	// second leg is short of circuits, and a try would cost three processors for nothing.
+	for i := 0; i < draws; i++ {
+		e := c.exchanges[c.rng.Intn(len(c.exchanges))]
+		if c.usable(e, k) && c.rng.Float64() < c.weightOf(k.dest, e) && (best == nil || e.free > best.free) {
+			best = e
 		}
 	}
-	return nil
+	return best
 }
 
-// calm tells whether the processors have time for more than plain direct calls.
-func (c *Controller) calm(k *call) bool {
-	limit := time.Duration(twoLegPart * float64(c.set.Classes[k.Class].Aim))
-	return c.ownDelay() <= limit && !c.pressed(k.dest, k, true)
+// usable tells whether a tandem can take a call now, as far as is seen from here.
+func (c *Controller) usable(e *exchange, k *call) bool {
+	return e != nil && e != k.dest && e.free >= 0 && c.fits(e, k, true) && k.allowed(c, e) &&
+		c.reachable(e) && !e.silent && !c.pressed(e, k, true)
 }
 
-// weightOf is the weight of a tandem; the one a centre advises counts twice, since stale advice beats none.
-func (e *exchange) weightOf(t *exchange, advised int) float64 {
-	w, ok := e.weight[t.number]
-	if !ok {
-		w = 0.4
-	}
-	if advised == t.number {
-		w = math.Min(1, 2*w)
+// weightOf is the weight of a tandem for a destination. A pair not seen yet has the mean of all pairs: in a
+// large fleet most pairs see no call for minutes, and evidence starves unless it is pooled.
+func (c *Controller) weightOf(dest, t *exchange) float64 {
+	if w, ok := dest.weight[t.number]; ok {
+		return w
 	}
-	return w
+	return c.ease
 }
 
-func (e *exchange) reweigh(t *exchange, by float64) {
-	e.weight[t.number] = math.Min(1, math.Max(floor, e.weightOf(t, -1)*by))
+// reweigh learns from a two-leg attempt: of the pair, of all pairs, and of the centre's advice.
+func (c *Controller) reweigh(k *call, by float64) {
+	w := math.Min(1, math.Max(floor, c.weightOf(k.dest, k.at)*by))
+	k.dest.weight[k.at.number] = w
+	mean := &c.ease
+	if k.at.number == k.Via {
+		mean = &c.trust
+	}
+	*mean = math.Max(floor, (1-pool)**mean)
+	if by > 1 {
+		*mean += pool
+	}
 }
 
 // send starts an attempt; there is never another one out (rule 2).
@@ -706,14 +711,15 @@
 		return
 	}
 	k.out, k.at, k.office, k.sent, k.twoLeg = true, e, e.office.ID, c.now, twoLeg
-	k.attempts++
-	if k.tried == nil {
-		k.tried = map[int]bool{}
+	k.attempts, k.part = k.attempts+1, k.Class
+	if twoLeg {
+		k.part = len(c.set.Classes)
 	}
-	k.tried[e.number] = true
+	k.tried = append(k.tried, e)
 	e.free = max(e.free-k.Width, -1)
-	e.used[k.part(c)] += k.Width
+	e.used[k.part], e.held = e.used[k.part]+k.Width, e.held+k.Width
 	e.out = append(e.out, k)
+	c.waiting++
 	e.tokens--
 	if home := c.exchange(c.set.Home, false); home != nil && home.cold {
 		home.tokens--
@@ -725,54 +731,53 @@
 	c.host.Send(k.ID, k.office, left)
 }
 
-// part is the part of the group's use that a call counts in: its class, or the lowest for two-leg calls.
-func (k *call) part(c *Controller) int {
-	if k.twoLeg {
-		return len(c.set.Classes)
-	}
-	return k.Class
-}
-
 // settle takes an attempt off the books of the attempts that wait for an answer.
-func (k *call) settle() {
+func (c *Controller) settle(k *call) {
+	c.waiting--
 	k.at.out = slices.DeleteFunc(k.at.out, func(o *call) bool { return o == k })
 }
 
+// current finds the call whose latest attempt an outcome belongs to.
+func (c *Controller) current(o Outcome) *call {
+	if k := c.calls[o.Call]; k != nil && k.out && o.Attempt == k.attempts-1 && o.Office == k.office {
+		return k
+	}
+	return nil
+}
+
 // Stands takes the news that a call stands.
 func (c *Controller) Stands(now time.Duration, o Outcome) {
 	c.at(now)
-	k := c.calls[o.Call]
-	if k == nil || !k.out || k.stands || o.Attempt != k.attempts-1 || o.Office != k.office {
+	k := c.current(o)
+	if k == nil || k.stands {
 		return
 	}
 	k.stands, k.answered = true, true
-	k.settle()
+	c.settle(k)
 	c.hear(k.at)
 	if n := c.numbers[k.Number]; n != nil {
 		n.gap, n.first = 0, 0
 	}
 	if !k.twoLeg || k.Transit || c.set.Pools {
-		c.observe(k.at, o.Took)
+		c.observe(k.at, o.Took, true)
 	}
 	if k.twoLeg && !k.Transit {
-		k.dest.reweigh(k.at, raise)
+		c.reweigh(k, raise)
 	}
 }
 
 // Outcome takes the end of an attempt.
 func (c *Controller) Outcome(now time.Duration, o Outcome) {
 	c.at(now)
-	k := c.calls[o.Call]
-	if k == nil || !k.out || o.Attempt != k.attempts-1 || o.Office != k.office {
+	k := c.current(o)
+	if k == nil {
 		return
 	}
-	if !k.stands {
-		k.settle()
-	}
 	k.out = false
-	k.at.used[k.part(c)] -= k.Width
+	k.at.used[k.part], k.at.held = k.at.used[k.part]-k.Width, k.at.held-k.Width
 	c.learn(k.at, o.Load)
 	if !k.stands {
+		c.settle(k)
 		c.blame(k, o)
 	}
 	if o.Over || k.answered {
@@ -793,7 +798,7 @@
 	switch {
 	case o.Status == TimedOut:
 		if !via {
-			c.observe(e, o.Took)
+			c.observe(e, o.Took, true)
 		}
 	case o.Status == NoConnect: // down or out of reach, whatever the list says
 		c.mute(e, c.now)
@@ -807,10 +812,10 @@
 			full = k.dest
 		}
 		if note == NoteProcessor || note == NoteBeyondFull {
-			c.observe(full, 2*c.set.Classes[k.Class].Aim)
+			c.observe(full, 2*c.set.Classes[k.Class].Aim, false)
 		}
 		if via {
-			k.dest.reweigh(e, cut)
+			c.reweigh(k, cut)
 		}
 	}
 }
@@ -836,26 +841,22 @@
 	switch o.Status {
 	case TimedOut, Reset, Cancelled:
 		// The release is awaited (rule 5): what the attempt held may stay taken until then.
-		k.mayRun = true
-		delete(k.tried, k.at.number)
+		k.mayRun, k.tried = true, k.tried[:len(k.tried)-1]
 		k.notBefore = c.now + c.set.Release + time.Millisecond
-		if k.Transit || k.notBefore >= k.due {
-			c.turnAway(k)
+		if !k.Transit && k.notBefore < k.due {
+			c.host.Timer(k.notBefore-c.now, "c"+strconv.FormatUint(k.ID, 10))
 			return
 		}
-		c.host.Timer(k.notBefore-c.now, "c"+strconv.FormatUint(k.ID, 10))
-	case Faulted:
-		k.mayRun = true
-		c.turnAway(k)
 	case Full, NoConnect, NotSent:
-		if o.Note%16 == NoteProcessor && k.at == k.dest || o.Status == NotSent && o.Note%16 != NoteCircuit {
-			c.turnAway(k)
+		atEnd := o.Note%16 == NoteProcessor && k.at == k.dest
+		if !atEnd && (o.Status != NotSent || o.Note%16 == NoteCircuit) {
+			c.route(k)
 			return
 		}
-		c.route(k)
 	default:
-		c.turnAway(k)
+		k.mayRun = true
 	}
+	c.turnAway(k)
 }
 
 // turnAway gives the final answer. A call that may have run where that is not safe is failed, never refused.
@@ -868,16 +869,13 @@
 		c.host.Fail(k.ID)
 		return
 	}
-	if !k.Transit && k.Number != "" && k.dest != nil && c.valid(k) {
+	if !k.Transit && k.Number != "" {
 		n := c.note(k)
 		n.class, n.first = k.Class, k.born
 	}
-	c.host.Refuse(k.ID, min(c.set.MaxWait, c.comeBack(k)))
+	c.host.Refuse(k.ID, min(c.set.MaxWait, time.Duration(comeBack*float64(c.set.Classes[k.Class].Aim))))
 }
 
-// valid tells whether the class of a call is one of the settings'.
-func (c *Controller) valid(k *call) bool { return k.Class >= 0 && k.Class < len(c.set.Classes) }
-
 // HungUp takes the news that the caller has gone.
 func (c *Controller) HungUp(now time.Duration, id uint64) {
 	c.at(now)
