--- a/logic/logic.go
+++ b/logic/logic.go
@@ -229,9 +229,10 @@
 	e.office = best
 }
 
-// chill starts the cold budget of an exchange.
+// chill starts the cold budget of an exchange at a moment of its own: in a large fleet a share is under a
+// call, and buckets that start alike hold all back for seconds and then ripen at the same moment.
 func (c *Controller) chill(e *exchange, since time.Duration) {
-	e.cold, e.coldAt, e.tokens, e.tokensAt = true, since, 0, c.now
+	e.cold, e.coldAt, e.tokens, e.tokensAt = true, since, c.share(e)*coldBurst+c.rng.Float64(), c.now
 	c.host.Log(fmt.Sprintf("cold exchange=%d", e.number))
 }
 
@@ -543,29 +544,30 @@
 // warm keeps the cold budget (rule 4). A just-started processor falls over when all call servers together
 // send it too much; this one keeps to its share of the multiple of the coldest capacity, over any window.
 func (c *Controller) warm(e *exchange) bool {
-	if !e.cold {
-		return true
-	}
-	age := c.now - e.coldAt
-	if age >= c.set.ColdFor {
-		e.cold = false
+	if e.cold = e.cold && c.now-e.coldAt < c.set.ColdFor; !e.cold {
 		return true
 	}
+	share, tip := c.share(e), c.set.TipAfter.Seconds()
+	rate := coldUse * share / math.Max(tip, 0.001)
+	e.tokens = math.Min(math.Max(1, share*coldBurst), e.tokens+(c.now-e.tokensAt).Seconds()*rate)
+	e.tokensAt = c.now
+	return e.tokens >= 1
+}
+
+// share is the part of this call server in the set-ups that a cold exchange can take within TipAfter. What a
+// processor of our size can do is guessed from what full own groups turn over.
+func (c *Controller) share(e *exchange) float64 {
 	ramp := c.set.ColdFrom
-	if late := age - c.set.TipAfter; late > 0 && c.set.ColdFor > 0 {
-		ramp += (1 - ramp) * float64(late) / float64(c.set.ColdFor)
+	if late := c.now - e.coldAt - c.set.TipAfter; late > 0 && c.set.ColdFor > 0 {
+		ramp = math.Min(1, ramp+(1-ramp)*float64(late)/float64(c.set.ColdFor))
 	}
-	// The set-ups a second of a processor of our size are guessed from what full own groups turn over.
 	hold := math.Max(c.meanHold().Seconds(), 0.1)
 	capacity := math.Max(headroom*float64(c.circuits)/(hold*c.meanWidth()), 1)
-	budget := c.set.Overload * ramp * capacity / float64(c.set.Instances)
+	senders := float64(c.set.Instances)
 	if e.number == c.set.Home && !c.set.Pools { // its own calls are half of the work of a processor
-		budget *= math.Max(1, float64(c.set.Instances)/2)
+		senders = math.Min(senders, 2)
 	}
-	tip := c.set.TipAfter.Seconds()
-	depth := math.Max(1, budget*tip*coldBurst)
-	e.tokens, e.tokensAt = math.Min(depth, e.tokens+(c.now-e.tokensAt).Seconds()*budget*coldUse), c.now
-	return e.tokens >= 1
+	return c.set.Overload * ramp * capacity * c.set.TipAfter.Seconds() / senders
 }
 
 // pressed sheds a call where it would not stand in time, least worth first: a late set-up has cost two
@@ -678,7 +680,7 @@
 // usable tells whether a tandem can take a call now, as far as is seen from here.
 func (c *Controller) usable(e *exchange, k *call) bool {
 	return e != nil && e != k.dest && e.free >= 0 && c.fits(e, k, true) && k.allowed(c, e) &&
-		c.reachable(e) && !e.silent && !c.pressed(e, k, true)
+		!e.cold && c.reachable(e) && !e.silent && !c.pressed(e, k, true)
 }
 
 // weightOf is the weight of a tandem for a destination. A pair not seen yet has the mean of all pairs: in a
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -318,3 +318,37 @@
 		t.Errorf("thick group: worthiest %.2f, others %.2f", l[0].erlangs, l[1].erlangs)
 	}
 }
+
+// Guards against equal buckets: 90 call servers with less than a call each in the whole cold span would send
+// nothing for seconds, and then all at once. Together they use the budget early and stay under it.
+func TestColdBudgetOfManyCallServers(t *testing.T) {
+	const servers = 90
+	for _, tt := range []struct {
+		demand float64 // calls a second of each call server
+		least  float64 // part of the budget used in the first TipAfter
+	}{{0.1, 0.05}, {50, 0.5}} {
+		sent, budget := 0, 0.0
+		for i := 0; i < servers; i++ {
+			s := testSettings()
+			s.Me, s.Instances, s.ColdFor, s.Host = i, servers, time.Minute, newChecker(s)
+			c, err := New(s, int64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.circuits = 150
+			e := c.exchange(1, true)
+			c.now = time.Second
+			c.chill(e, c.now)
+			budget = c.share(e) * servers
+			for ; c.now < time.Second+s.TipAfter; c.now += 20 * time.Millisecond {
+				if c.rng.Float64() < tt.demand*0.02 && c.warm(e) {
+					e.tokens--
+					sent++
+				}
+			}
+		}
+		if part := float64(sent) / budget; part < tt.least || part > 1 {
+			t.Errorf("demand %v: %.2f of the budget used in the first window", tt.demand, part)
+		}
+	}
+}
