--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,7 +28,7 @@
 	cut         = 0.3  // tandem weight on a turn-back or a full processor
 	floor       = 0.05 // least tandem weight: every tandem is tried now and then
 	pool        = 0.1  // weight of a new outcome in what is learnt of all pairs together
-	draws       = 12   // tandems looked at for a blocked call
+	draws       = 16.0 // tandems looked at for a blocked call where processors idle and all of them take it
 	smooth      = 0.3  // weight of a new set-up delay in the running mean
 	halfLife    = time.Second
 	shedBase    = 0.2 // a two-leg call or one of no worth is shed past this part of its aim,
@@ -666,9 +666,10 @@
 		return t
 	}
 	var best *exchange
-	// A draw falls on each alike and is kept with the chance of its weight: where turn-backs have cut it, the
-	// second leg is short of circuits, and a try would cost three processors for nothing.
-	for i := 0; i < draws; i++ {
+	// A draw falls on each alike and is kept with the chance of its weight: the danger is tries that cost three
+	// processors for nothing. The fewer stand and the longer the own wait, the fewer are looked at.
+	calm := 1 - float64(c.ownDelay())/(shedBase*float64(c.set.Classes[k.Class].Aim))
+	for i := 0.0; i < min(draws, float64(len(c.exchanges)))*c.ease*calm; i++ {
 		e := c.exchanges[c.rng.Intn(len(c.exchanges))]
 		if c.usable(e, k) && c.rng.Float64() < c.weightOf(k.dest, e) && (best == nil || e.free > best.free) {
 			best = e
