--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,7 +28,7 @@
 	cut         = 0.3  // tandem weight on a turn-back or a full processor
 	floor       = 0.05 // least tandem weight: every tandem is tried now and then
 	pool        = 0.1  // weight of a new outcome in what is learnt of all pairs together
-	draws       = 16.0 // tandems looked at for a blocked call where processors idle and all of them take it
+	draws       = 16.0 // tandems looked at for a blocked call, where all are usable and processors idle
 	smooth      = 0.3  // weight of a new set-up delay in the running mean
 	halfLife    = time.Second
 	shedBase    = 0.2 // a two-leg call or one of no worth is shed past this part of its aim,
