--- a/logic/logic.go
+++ b/logic/logic.go
@@ -10,7 +10,6 @@
 	"math"
 	"math/rand"
 	"slices"
-	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -36,6 +35,7 @@
 	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
 	firstTrial  = time.Second
 	lastTrial   = 4 * time.Second
+	waitPart    = 0.7                    // a blocked call waits for a circuit for this part of its aim
 	comeBack    = 0.25                   // a refused caller is asked to come again after this part of the aim
 	coldUse     = 0.75                   // part of the cold budget that is used steadily,
 	coldBurst   = 0.2                    // and the part that may go at once
@@ -76,8 +76,8 @@
 	attempts  int
 	part      int // what it counts in of the group's use: its class, or the lowest for two-leg calls
 	// an attempt is out; it stands; the final answer is given; it goes over a tandem; it may have run
-	out, stands, answered, twoLeg, mayRun bool
-	tried                                 []*exchange
+	out, stands, answered, twoLeg, mayRun, waited, waiting bool
+	tried                                                  []*exchange
 }
 
 type office struct {
@@ -97,7 +97,7 @@
 	reserve, direct     int     // parts for the worthiest class, and for direct calls of any class
 	others              float64 // mean circuits in use that are not of own calls
 	weight              map[int]float64
-	out                 []*call
+	out, queue          []*call
 	silent, cold        bool
 	heard, silentFrom   time.Duration
 	nextTrial, trialGap time.Duration
@@ -147,15 +147,12 @@
 	}
 }
 
-// ---- The list of exchanges
-
 // exchange finds an exchange by number; with add it is made.
 func (c *Controller) exchange(n int, add bool) *exchange {
-	i := sort.Search(len(c.exchanges), func(i int) bool { return c.exchanges[i].number >= n })
-	if i < len(c.exchanges) && c.exchanges[i].number == n {
+	i, found := slices.BinarySearchFunc(c.exchanges, n, func(e *exchange, n int) int { return e.number - n })
+	if found {
 		return c.exchanges[i]
-	}
-	if !add {
+	} else if !add {
 		return nil
 	}
 	e := &exchange{number: n, free: -1, total: -1, used: make([]int, len(c.set.Classes)+1),
@@ -169,9 +166,7 @@
 func (c *Controller) List(now time.Duration, kind ListKind, list []Office) {
 	c.at(now)
 	if kind == ListUnavailable {
-		if c.set.ListOnRequest {
-			c.host.Timer(time.Second+time.Duration(c.rng.Int63n(int64(time.Second))), "w")
-		}
+		c.host.Timer(time.Second+time.Duration(c.rng.Int63n(int64(time.Second))), "w")
 		return
 	}
 	named := map[string]bool{}
@@ -262,21 +257,17 @@
 	if v, ok := get(c.eps); ok && v <= 1 {
 		e.eps, e.epsAt = v, c.now
 	}
+	c.serve(e)
 }
 
 // Peer takes a message of another call server. Nothing is made of it: calls are decided on own evidence.
 func (c *Controller) Peer(now time.Duration, from int, data []byte) { c.at(now) }
 
-// ---- The split: Chen and Chen, Equations 4 and 6
-
 // load is what one class offers to a group, in circuits, and what carrying or blocking a unit of it counts.
 type load struct{ erlangs, worth, penalty float64 }
 
 // erlangB is the blocking of n circuits offered a erlangs, by the stable recursion.
 func erlangB(n int, a float64) float64 {
-	if a <= 0 {
-		return 0
-	}
 	b := 1.0
 	for i := 1; i <= n; i++ {
 		b = a * b / (float64(i) + a*b)
@@ -351,9 +342,8 @@
 	}
 }
 
-// loads is what is offered to a group: the worthiest class, the other direct calls, the two-leg calls. A thin
-// group sees a handful of calls in a window and a split on those alone jumps on noise, so its own counts are
-// weighed against what all groups saw: as many calls as its circuits were planned for, in the common mix.
+// loads is what is offered to a group: the worthiest class, other direct calls, two-leg calls. A split on the
+// handful of calls that a thin group sees jumps on noise: its counts are weighed against those of all groups.
 func (c *Controller) loads(e *exchange) []load {
 	out, last, fleet, own := make([]load, 3), len(c.set.Classes), 0.0, 0.0
 	for k := range c.set.Classes {
@@ -409,22 +399,20 @@
 // place finds out whether a call is a redial, and counts it for the split if it is not: the same demand
 // counted again would swell the reserve with how hard callers redial. A redial's aim runs from its first try.
 func (c *Controller) place(k *call) {
-	n := c.numbers[k.Number]
-	patience := c.set.Classes[k.Class].Deadline
-	if n != nil && n.first > 0 && n.class == k.Class && !k.WasCut && c.now-n.first < patience {
+	n, class := c.numbers[k.Number], len(c.set.Classes)
+	if n != nil && n.first > 0 && n.class == k.Class && !k.Transit && !k.WasCut &&
+		c.now-n.first < c.set.Classes[k.Class].Deadline {
 		k.born = n.first
-	} else if !k.Again {
-		k.dest.counts[c.bucket()][k.Class]++
+	} else if !k.Again && !k.Transit {
+		class = k.Class
 		if k.dest.total > 0 {
-			c.counts[c.bucket()][k.Class]++
+			c.counts[c.bucket()][class]++
 		}
-		return
 	}
-	k.dest.counts[c.bucket()][len(c.set.Classes)]++
+	k.dest.counts[c.bucket()][class]++
 }
 
-// late tells whether a call would stand after its aim: it joins the two-leg calls in the lowest class. The
-// danger is the wave of redials that any shortage brings: they earn little and keep out calls in time.
+// late tells whether a call would stand after its aim: it joins the lowest class, against waves of redials.
 func (c *Controller) late(k *call) bool {
 	return !k.Transit && c.now+c.delayOf(k.dest) > k.born+c.set.Classes[k.Class].Aim
 }
@@ -461,8 +449,6 @@
 	return room >= k.Width
 }
 
-// ---- Pressure, silence and cold starts
-
 // delayOf is the set-up delay to expect: the running mean, fading while nothing new is seen, or the age of
 // the oldest attempt out, which tells of a jam before its first late answer.
 func (c *Controller) delayOf(e *exchange) time.Duration {
@@ -475,8 +461,7 @@
 	return d
 }
 
-// ownDelay is the delay that all answers share, and so most likely that of the own processor: it falls to
-// each quicker one and climbs slowly. In a large fleet each exchange answers too seldom to tell it alone.
+// ownDelay is the delay that all answers share, most likely the own processor's. Each quicker one lowers it.
 func (c *Controller) ownDelay() time.Duration {
 	if c.now-c.ownAt > 2*halfLife {
 		return 0
@@ -570,9 +555,8 @@
 	return c.set.Overload * ramp * capacity * c.set.TipAfter.Seconds() / senders
 }
 
-// pressed sheds a call where it would not stand in time, least worth first: a late set-up has cost two
-// processors and the circuits, and earns little. One direct call at a time tries all the same, so that the
-// end of a jam is seen; a silent exchange gets its trials whatever the age of what is out.
+// pressed sheds a call that would not stand in time, least worth first: a late set-up costs two processors
+// and earns little. One direct call at a time tries all the same, so that the end of a jam is seen.
 func (c *Controller) pressed(e *exchange, k *call, twoLeg bool) bool {
 	cl := c.set.Classes[k.Class]
 	part := shedBase
@@ -591,8 +575,6 @@
 	return false
 }
 
-// ---- Calls
-
 // Offered takes a call, fresh or in transit.
 func (c *Controller) Offered(now time.Duration, in Call) {
 	c.at(now)
@@ -612,11 +594,7 @@
 	}
 	// Final answers: whatever becomes of the call, this timer comes before the caller gives up (rule 1).
 	c.host.Timer(k.due-now, "c"+strconv.FormatUint(k.ID, 10))
-	if k.Transit {
-		k.dest.counts[c.bucket()][len(c.set.Classes)]++
-	} else {
-		c.place(k)
-	}
+	c.place(k)
 	c.route(k)
 }
 
@@ -624,11 +602,38 @@
 func (c *Controller) route(k *call) {
 	if e, twoLeg := c.pick(k); e != nil {
 		c.send(k, e, twoLeg)
-	} else {
+	} else if !c.queue(k) {
 		c.turnAway(k)
 	}
 }
 
+// queue keeps a blocked fresh call, once and while processors are calm, for a circuit of its direct group
+// that frees in time for its aim. Refused, its caller would cost another look and stand late.
+func (c *Controller) queue(k *call) bool {
+	e, n := k.dest, c.numbers[k.Number]
+	wait := k.born + time.Duration(waitPart*float64(c.set.Classes[k.Class].Aim)) - c.delayOf(e) - c.now
+	if k.Transit || k.waited || k.mayRun || wait <= 0 || c.now+wait >= k.due || n != nil && n.gap > 0 ||
+		e.total <= 0 || !c.reachable(e) || c.pressed(e, k, true) {
+		return false
+	}
+	k.waited, k.waiting, k.notBefore = true, true, c.now+wait
+	e.queue = append(e.queue, k)
+	c.host.Timer(wait, "c"+strconv.FormatUint(k.ID, 10))
+	return true
+}
+
+// serve gives free circuits of a group to the calls that wait for one, in order. What was sent or answered
+// meanwhile leaves the queue.
+func (c *Controller) serve(e *exchange) {
+	e.queue = slices.DeleteFunc(e.queue, func(k *call) bool {
+		k.waiting = k.waiting && !k.answered
+		if k.waiting && c.fits(e, k, false) && c.reachable(e) && !c.pressed(e, k, false) {
+			c.send(k, e, false)
+		}
+		return !k.waiting
+	})
+}
+
 // pick finds where a call may go now, and whether that is over a tandem.
 func (c *Controller) pick(k *call) (*exchange, bool) {
 	n, home := c.numbers[k.Number], c.exchange(c.set.Home, false)
@@ -639,7 +644,7 @@
 	case !c.reachable(k.dest) || home != nil && !c.set.Pools && !c.warm(home) || c.pressed(k.dest, k, false):
 	case k.allowed(c, k.dest) && c.fits(k.dest, k, k.Transit || c.late(k)):
 		return k.dest, k.Transit
-	case !k.Transit && !c.late(k) && !(n != nil && n.gap > 0):
+	case !k.Transit && !k.waited && !c.late(k) && !(n != nil && n.gap > 0):
 		return c.tandem(k), true
 	}
 	return nil, false
@@ -652,9 +657,8 @@
 		(!c.set.Pools || len(skilled) == 0 || slices.Contains(skilled, e.number))
 }
 
-// tandem draws a tandem (a pool of second choice) by the weights learnt for the destination. The one that a
-// centre advises for this call goes first, as often as advice has lately stood: a fleet has far more pairs of
-// destination and tandem than blocked calls to learn from, and the centre has seen the second leg.
+// tandem draws a tandem (a pool of second choice) by the weights learnt. The one that a centre advises goes
+// first, as often as advice has lately stood: the centre has seen the second leg.
 func (c *Controller) tandem(k *call) *exchange {
 	if k.attempts == 0 {
 		c.counts[c.bucket()][len(c.set.Classes)]++
@@ -666,8 +670,8 @@
 		return t
 	}
 	var best *exchange
-	// A draw falls on each alike and is kept with the chance of its weight: the danger is tries that cost three
-	// processors for nothing. The fewer stand and the longer the own wait, the fewer are looked at.
+	// A draw falls on each alike and is kept with the chance of its weight: the danger is tries that cost
+	// three processors for nothing. The fewer stand and the longer the own wait, the fewer are looked at.
 	calm := 1 - float64(c.ownDelay())/(shedBase*float64(c.set.Classes[k.Class].Aim))
 	for i := 0.0; i < min(draws, float64(len(c.exchanges)))*c.ease*calm; i++ {
 		e := c.exchanges[c.rng.Intn(len(c.exchanges))]
@@ -695,8 +699,7 @@
 
 // reweigh learns from a two-leg attempt: of the pair, of all pairs, and of the centre's advice.
 func (c *Controller) reweigh(k *call, by float64) {
-	w := math.Min(1, math.Max(floor, c.weightOf(k.dest, k.at)*by))
-	k.dest.weight[k.at.number] = w
+	k.dest.weight[k.at.number] = math.Min(1, math.Max(floor, c.weightOf(k.dest, k.at)*by))
 	mean := &c.ease
 	if k.at.number == k.Via {
 		mean = &c.trust
@@ -713,7 +716,7 @@
 	if k.out || left <= 0 {
 		return
 	}
-	k.out, k.at, k.office, k.sent, k.twoLeg = true, e, e.office.ID, c.now, twoLeg
+	k.out, k.waiting, k.at, k.office, k.sent, k.twoLeg = true, false, e, e.office.ID, c.now, twoLeg
 	k.attempts, k.part = k.attempts+1, k.Class
 	if twoLeg {
 		k.part = len(c.set.Classes)
@@ -807,7 +810,9 @@
 		c.mute(e, c.now)
 	case o.Status == Faulted && note == NoteBusy:
 		c.hear(e)
-		c.busy(k)
+		n := c.note(k) // the pause before the next call to it doubles
+		n.gap = min(max(2*n.gap, busyGap), busyGapMost)
+		n.busyUntil = c.now + n.gap
 	case o.Status == Full || o.Status == Faulted:
 		c.hear(e)
 		full := e
@@ -823,13 +828,7 @@
 	}
 }
 
-// busy notes a busy number: the pause before its next call doubles.
-func (c *Controller) busy(k *call) {
-	n := c.note(k)
-	n.gap = min(max(2*n.gap, busyGap), busyGapMost)
-	n.busyUntil = c.now + n.gap
-}
-
+// note is what is remembered of the number of a call.
 func (c *Controller) note(k *call) *number {
 	n := c.numbers[k.Number]
 	if n == nil {
@@ -882,12 +881,10 @@
 // HungUp takes the news that the caller has gone.
 func (c *Controller) HungUp(now time.Duration, id uint64) {
 	c.at(now)
-	k := c.calls[id]
-	if k == nil || k.stands {
-		return
+	if k := c.calls[id]; k != nil && !k.stands {
+		k.answered = true
+		c.drop(k)
 	}
-	k.answered = true
-	c.drop(k)
 }
 
 // drop forgets an answered call; an attempt still out is called off and kept until its outcome.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -36,12 +36,23 @@
 	b.h.calls[b.next] = &watched{dest: dest, due: b.h.now + 3*time.Second}
 	from := len(b.h.acts)
 	b.c.Offered(b.h.now, Call{ID: b.next, Class: class, Dest: dest, Via: -1, TimeLeft: 3 * time.Second, Number: number})
-	for _, a := range b.h.acts[from:] {
-		if !strings.HasPrefix(a, "log") {
-			return strings.Fields(a)[0] + " " + strings.TrimPrefix(b.h.calls[b.next].office, "o")
+	first := func() string {
+		for _, a := range b.h.acts[from:] {
+			if !strings.HasPrefix(a, "log") {
+				return strings.Fields(a)[0] + " " + strings.TrimPrefix(b.h.calls[b.next].office, "o")
+			}
+		}
+		return ""
+	}
+	if mark := fmt.Sprint("c", b.next); first() == "" { // it waits: until its time is over
+		for _, tm := range b.h.timers {
+			if tm.mark == mark {
+				b.h.now = tm.at
+			}
 		}
+		b.c.Timer(b.h.now, mark)
 	}
-	return ""
+	return first()
 }
 
 func (b *bed) stand(id uint64) {
@@ -352,3 +363,35 @@
 		}
 	}
 }
+
+// Guards against refusing for want of a circuit that frees in a moment, and against a second attempt for a call
+// that waited, was sent by its timer and then timed out: it must leave the queue before the group is told free.
+func TestBlockedCallWaitsForItsGroup(t *testing.T) {
+	b := quietBed(t, nil)
+	for x := 1; x < 6; x++ {
+		b.report(fmt.Sprintf("o%d", x), 0)
+	}
+	for id := uint64(1); id < 4; id++ {
+		b.h.calls[id] = &watched{dest: 1, due: b.h.now + 3*time.Second}
+		b.c.Offered(b.h.now, Call{ID: id, Dest: 1, Via: -1, TimeLeft: 3 * time.Second, Number: fmt.Sprint(id)})
+	}
+	b.h.now += 100 * time.Millisecond
+	b.report("o1", 1)
+	if !b.h.calls[1].out || b.h.calls[2].out || b.h.calls[2].over {
+		t.Fatal("one circuit freed: the first call takes it, the others wait")
+	}
+	b.stand(1)
+	b.c.exchange(1, false).free = 1 // as the timer finds it
+	b.h.now += 650 * time.Millisecond
+	b.c.Timer(b.h.now, "c2")
+	b.c.Timer(b.h.now, "c3")
+	if !b.h.calls[2].out || !b.h.calls[3].over {
+		t.Fatal("at the end of the wait: one is sent, the other refused")
+	}
+	k := b.h.calls[2]
+	k.out, k.notBefore = false, b.h.now+b.h.set.Release
+	b.c.Outcome(b.h.now, Outcome{Call: 2, Office: "o1", Status: TimedOut, Load: []float64{5, 30, -1}})
+	if k.attempts != 1 || len(b.h.problems) > 0 {
+		t.Errorf("%d attempts, %v", k.attempts, b.h.problems)
+	}
+}
