--- a/logic/logic.go
+++ b/logic/logic.go
@@ -6,6 +6,7 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
@@ -224,8 +225,7 @@
 	e.office = best
 }
 
-// chill starts the cold budget of an exchange at a moment of its own: in a large fleet a share is under a
-// call, and buckets that start alike hold all back for seconds and then ripen at the same moment.
+// chill starts a cold budget, at a moment of its own: equal buckets hold back for long and then ripen as one.
 func (c *Controller) chill(e *exchange, since time.Duration) {
 	e.cold, e.coldAt, e.tokens, e.tokensAt = true, since, c.share(e)*coldBurst+c.rng.Float64(), c.now
 	c.host.Log(fmt.Sprintf("cold exchange=%d", e.number))
@@ -449,8 +449,7 @@
 	return room >= k.Width
 }
 
-// delayOf is the set-up delay to expect: the running mean, fading while nothing new is seen, or the age of
-// the oldest attempt out, which tells of a jam before its first late answer.
+// delayOf is the set-up delay to expect: the fading mean, or the age of the oldest direct attempt out.
 func (c *Controller) delayOf(e *exchange) time.Duration {
 	d := time.Duration(float64(e.delay) * math.Exp2(-float64(c.now-e.delayAt)/float64(halfLife)))
 	if len(e.out) > 0 {
@@ -618,12 +617,14 @@
 	}
 	k.waited, k.waiting, k.notBefore = true, true, c.now+wait
 	e.queue = append(e.queue, k)
+	slices.SortStableFunc(e.queue, func(a, b *call) int {
+		return cmp.Compare(c.set.Classes[b.Class].Worth, c.set.Classes[a.Class].Worth)
+	})
 	c.host.Timer(wait, "c"+strconv.FormatUint(k.ID, 10))
 	return true
 }
 
-// serve gives free circuits of a group to the calls that wait for one, in order. What was sent or answered
-// meanwhile leaves the queue.
+// serve gives free circuits to the calls that wait for one, worthiest first. Sent and answered calls leave.
 func (c *Controller) serve(e *exchange) {
 	e.queue = slices.DeleteFunc(e.queue, func(k *call) bool {
 		k.waiting = k.waiting && !k.answered
@@ -688,8 +689,7 @@
 		!e.cold && c.reachable(e) && !e.silent && !c.pressed(e, k, true)
 }
 
-// weightOf is the weight of a tandem for a destination. A pair not seen yet has the mean of all pairs: in a
-// large fleet most pairs see no call for minutes, and evidence starves unless it is pooled.
+// weightOf is the weight of a tandem; a pair not seen yet has the mean of all, or evidence would starve.
 func (c *Controller) weightOf(dest, t *exchange) float64 {
 	if w, ok := dest.weight[t.number]; ok {
 		return w
