--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,24 +47,23 @@
 
 // Controller decides for one call server. It has no clock, shares nothing and is not safe for concurrent use.
 type Controller struct {
-	set            Settings
-	host           Host
-	rng            *rand.Rand
-	now, birth     time.Duration
-	begun, listed  bool
-	calls          map[uint64]*call
-	exchanges      []*exchange // in order of their numbers
-	offices        map[string]*office
-	numbers        map[string]*number
-	top            int // the worthiest class
-	topWorth       float64
-	aim            time.Duration // the shortest aim
-	spare, sz, eps int           // places in reports; -1 absent
-	counts         counts        // of all groups; the last class is blocked calls that looked for a tandem
-	own, ownAt     time.Duration
-	waiting        int     // attempts out without an answer
-	trust, ease    float64 // shares of the advised and of the drawn tandems that stood
-	circuits       int     // of all own groups
+	set               Settings
+	host              Host
+	rng               *rand.Rand
+	now, birth, seen  time.Duration // seen: time of the batch before this one
+	begun, listed     bool
+	calls             map[uint64]*call
+	exchanges         []*exchange // in order of their numbers
+	offices           map[string]*office
+	numbers           map[string]*number
+	top               int // the worthiest class
+	topWorth          float64
+	aim               time.Duration // the shortest aim
+	spare, sz, eps    int           // places in reports; -1 absent
+	counts            counts        // of all groups; the last class is blocked calls that looked for a tandem
+	own, ownAt        time.Duration
+	waiting, circuits int     // attempts out without an answer; circuits of all own groups
+	trust, ease       float64 // shares of the advised and of the drawn tandems that stood
 }
 
 type call struct {
@@ -88,24 +87,23 @@
 
 // exchange is what is known of one exchange and of the own trunk group toward it.
 type exchange struct {
-	number              int
-	offices             []*office
-	office              *office // gets new calls; nil: none
-	free, total         int     // circuits of the group; -1 unknown
-	held                int     // of them by own calls
-	used                []int   // circuits of own calls by class; the last for two-leg calls
-	counts              counts
-	reserve, direct     int     // parts for the worthiest class, and for direct calls of any class
-	others              float64 // mean circuits in use that are not of own calls
-	weight              map[int]float64
-	out, queue          []*call
-	silent, cold        bool
-	heard, silentFrom   time.Duration
-	nextTrial, trialGap time.Duration
-	delay, delayAt      time.Duration
-	eps, tokens         float64
-	epsAt               time.Duration
-	coldAt, tokensAt    time.Duration
+	number                  int
+	offices                 []*office
+	office                  *office // gets new calls; nil: none
+	free, total             int     // circuits of the group; -1 unknown
+	held                    int     // of them by own calls
+	used                    []int   // circuits of own calls by class; the last for two-leg calls
+	counts                  counts
+	reserve, direct         int     // parts for the worthiest class, and for direct calls of any class
+	others                  float64 // mean circuits in use that are not of own calls
+	weight                  map[int]float64
+	out, queue              []*call
+	silent, cold            bool
+	heard, silentFrom       time.Duration
+	nextTrial, trialGap     time.Duration
+	delay, delayAt          time.Duration
+	eps, tokens             float64
+	epsAt, coldAt, tokensAt time.Duration
 }
 
 // number is what is remembered of a number called.
@@ -138,9 +136,11 @@
 
 // at moves the clock of the instance to an event.
 func (c *Controller) at(now time.Duration) {
-	c.now = now
+	if now > c.now { // what came since the last batch may have waited for this server, not for others
+		c.seen, c.now = c.now, now
+	}
 	if !c.begun {
-		c.begun, c.birth = true, now
+		c.begun, c.birth, c.seen = true, now, now
 		c.host.Timer(period, "p")
 		if c.set.ListOnRequest {
 			c.host.Watch(true)
@@ -453,7 +453,7 @@
 func (c *Controller) delayOf(e *exchange) time.Duration {
 	d := time.Duration(float64(e.delay) * math.Exp2(-float64(c.now-e.delayAt)/float64(halfLife)))
 	if len(e.out) > 0 {
-		if age := c.now - e.out[0].sent; age > d && !e.out[0].twoLeg {
+		if age := c.seen - e.out[0].sent; age > d && !e.out[0].twoLeg {
 			d = age
 		}
 	}
@@ -470,6 +470,7 @@
 
 // observe takes the set-up delay of a direct call, or what an answer tells of an exchange's own delay.
 func (c *Controller) observe(e *exchange, d time.Duration, direct bool) {
+	d = max(0, d-(c.now-c.seen)+2*c.set.Tick)
 	if own := c.ownDelay(); direct {
 		c.own, c.ownAt = min(d, own+time.Duration(pool*float64(d-own))), c.now
 	}
@@ -500,7 +501,7 @@
 	}
 	since := max(e.out[0].sent, e.heard)
 	limit := max(time.Duration(silentPart*float64(c.aim)), 4*e.delay)
-	if c.now-since > limit {
+	if c.seen-since > limit {
 		c.mute(e, since)
 	}
 	return e.silent
@@ -580,8 +581,7 @@
 	if c.calls[in.ID] != nil {
 		return
 	}
-	// Two batches are left for an answer before the caller's time is up.
-	due := now + in.TimeLeft - 2*c.set.Tick - time.Millisecond
+	due := now + in.TimeLeft - 2*c.set.Tick - time.Millisecond // two batches are left for an answer
 	k := &call{Call: in, born: now, due: due, dest: c.exchange(in.Dest, false)}
 	if k.Class < 0 || k.Class >= len(c.set.Classes) || k.dest == nil || now >= due {
 		c.host.Refuse(k.ID, 0)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -395,3 +395,28 @@
 		t.Errorf("%d attempts, %v", k.attempts, b.h.problems)
 	}
 }
+
+// Guards against a call server that stood still and takes its own pause for the silence or the delay of others.
+func TestOwnPauseIsNotOthersSilence(t *testing.T) {
+	b := quietBed(t, nil)
+	b.call(0, 1, "a")
+	b.call(0, 2, "b")
+	b.h.now += 2 * time.Second // nothing came meanwhile: then all comes at once
+	if got := b.call(0, 3, "c"); got != "send 3" {
+		t.Errorf("call after the pause: %q", got)
+	}
+	if b.c.quiet(b.c.exchange(1, false)) {
+		t.Error("an exchange is taken for silent before its answers are read")
+	}
+	b.c.Stands(b.h.now, Outcome{Call: 1, Office: "o1", Took: 2 * time.Second})
+	if d := b.c.delayOf(b.c.exchange(1, false)); d > 100*time.Millisecond {
+		t.Errorf("delay %v learnt from an answer that waited here", d)
+	}
+	b.h.now += 700 * time.Millisecond
+	b.c.Timer(b.h.now, "none")
+	b.h.now += 5 * time.Millisecond
+	b.c.Timer(b.h.now, "none")
+	if !b.c.quiet(b.c.exchange(2, false)) {
+		t.Error("an exchange that answers nothing while others are heard is not taken for silent")
+	}
+}
