--- a/logic/logic.go
+++ b/logic/logic.go
@@ -629,9 +629,9 @@
 	e.queue = slices.DeleteFunc(e.queue, func(k *call) bool {
 		k.waiting = k.waiting && !k.answered
 		if k.waiting && c.fits(e, k, false) && c.reachable(e) && !c.pressed(e, k, false) {
-			c.send(k, e, false)
+			c.route(k) // no tandem this time, and never more attempts than allowed
 		}
-		return !k.waiting
+		return !k.waiting || k.answered
 	})
 }
 
@@ -804,7 +804,7 @@
 	switch {
 	case o.Status == TimedOut:
 		if !via {
-			c.observe(e, o.Took, true)
+			c.observe(e, o.Took, !e.silent) // a dead exchange tells nothing of the own processor
 		}
 	case o.Status == NoConnect: // down or out of reach, whatever the list says
 		c.mute(e, c.now)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -420,3 +420,22 @@
 		t.Error("an exchange that answers nothing while others are heard is not taken for silent")
 	}
 }
+
+// Guards against shedding everything because some exchanges are dead: their time-outs are not the own delay.
+func TestDeadExchangesDoNotPressOthers(t *testing.T) {
+	b := quietBed(t, nil)
+	b.call(0, 3, "fine")
+	b.stand(b.next)
+	for i := 0; i < 30; i++ {
+		b.call(0, 1+i%2, fmt.Sprint(i))
+		if k := b.h.calls[b.next]; k.out {
+			k.out, k.notBefore = false, b.h.now+b.h.set.Release
+			b.c.Outcome(b.h.now, Outcome{Call: b.next, Attempt: k.attempts - 1, Office: k.office, Status: TimedOut,
+				Took: 3 * time.Second})
+		}
+		b.h.now += 100 * time.Millisecond
+	}
+	if got := b.call(0, 4, "other"); got != "send 4" {
+		t.Errorf("call to a live exchange: %q, own delay %v", got, b.c.ownDelay())
+	}
+}
