--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,8 +38,8 @@
 	lastTrial   = 4 * time.Second
 	waitPart    = 0.7                    // a blocked call waits for a circuit for this part of its aim
 	comeBack    = 0.25                   // a refused caller is asked to come again after this part of the aim
-	coldUse     = 0.9                    // part of the cold budget that is used steadily,
-	coldBurst   = 0.3                    // and the part that may go at once
+	coldUse     = 0.75                   // part of the cold budget that is used steadily,
+	coldBurst   = 0.2                    // and the part that may go at once
 	headroom    = 4.0 / 3                // a processor turns over its groups in three quarters of its time
 	busyGap     = 250 * time.Millisecond // first pause for a busy number; doubles
 	busyGapMost = 2 * time.Second
