--- a/logic/logic.go
+++ b/logic/logic.go
@@ -118,10 +118,12 @@
 	if err := validate(&s); err != nil {
 		return nil, err
 	}
+	s.Classes = slices.Clone(s.Classes) // the caller may share them
 	c := &Controller{set: s, host: s.Host, rng: rand.New(rand.NewSource(seed)), calls: map[uint64]*call{},
 		offices: map[string]*office{}, numbers: map[string]*number{}, counts: newCounts(len(s.Classes)),
 		trust: 1, ease: 0.5}
 	for i, k := range s.Classes {
+		s.Classes[i].Pools = slices.Clone(k.Pools)
 		if k.Worth > c.topWorth {
 			c.top, c.topWorth = i, k.Worth
 		}
@@ -588,9 +590,7 @@
 		return
 	}
 	c.calls[in.ID] = k
-	if k.Width <= 0 {
-		k.Width = c.set.Classes[k.Class].Width
-	}
+	k.Width = cmp.Or(max(k.Width, 0), c.set.Classes[k.Class].Width)
 	// Final answers: whatever becomes of the call, this timer comes before the caller gives up (rule 1).
 	c.host.Timer(k.due-now, "c"+strconv.FormatUint(k.ID, 10))
 	c.place(k)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -439,3 +439,28 @@
 		t.Errorf("call to a live exchange: %q, own delay %v", got, b.c.ownDelay())
 	}
 }
+
+// Guards against Controllers that share memory through the slices of their settings.
+func TestSettingsAreCopied(t *testing.T) {
+	s := testSettings()
+	s.Classes = append(make([]Class, 0, 8), s.Classes...)
+	s.Classes[0].Pools = []int{1, 2}
+	s.Host = newChecker(s)
+	c, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, _ := New(s, 2)
+	for _, x := range []*Controller{c, d} {
+		e := x.exchange(1, true)
+		e.total, x.circuits, x.counts[0][0], x.now = 10, 10, 20, time.Minute
+		x.rescore(e)
+	}
+	if spare := s.Classes[:3][2]; spare.Worth != 0 || spare.Width != 0 {
+		t.Errorf("written into the caller's slice: %+v", spare)
+	}
+	s.Classes[0].Worth, s.Classes[0].Pools[0] = 99, 99
+	if c.set.Classes[0].Worth == 99 || c.set.Classes[0].Pools[0] == 99 {
+		t.Error("the Controller sees what the caller writes later")
+	}
+}
