--- a/logic/logic.go
+++ b/logic/logic.go
@@ -265,8 +265,11 @@
 // Peer takes a message of another call server. Nothing is made of it: calls are decided on own evidence.
 func (c *Controller) Peer(now time.Duration, from int, data []byte) { c.at(now) }
 
-// load is what one class offers to a group, in circuits, and what carrying or blocking a unit of it counts.
-type load struct{ erlangs, worth, penalty float64 }
+// load is what one class offers to a group in circuits, what they count, and how many a call needs at once.
+type load struct {
+	erlangs, worth, penalty float64
+	width                   int
+}
 
 // erlangB is the blocking of n circuits offered a erlangs, by the stable recursion.
 func erlangB(n int, a float64) float64 {
@@ -278,23 +281,23 @@
 }
 
 // payoff is Equation 6: each reserved part, reserve[k] for class k, is an Erlang loss system that overflows
-// into the shared part, which Equation 4 scores.
-func payoff(n int, reserve []int, loads []load) float64 {
-	total, spill, earn, lose := 0.0, 0.0, 0.0, 0.0
-	shared := n
+// into the shared part, which Equation 4 scores. A wide call stands where as many single calls would.
+func payoff(n int, reserve []int, loads []load) (total float64) {
+	spill, over := 0.0, make([]float64, len(loads))
 	for k, l := range loads {
-		over := l.erlangs
+		over[k] = l.erlangs
 		if r := reserve[k]; r > 0 {
-			over *= erlangB(r, l.erlangs)
-			shared -= r
+			over[k] *= erlangB(r/l.width, l.erlangs/float64(l.width))
+			n -= r
 		}
-		total += (l.erlangs - over) * l.worth
-		spill += over
-		earn += over * l.worth
-		lose += over * l.penalty
+		spill += over[k]
+	}
+	stands := 1 - erlangB(n, spill)
+	for k, l := range loads {
+		blocked := over[k] * (1 - math.Pow(stands, float64(l.width)))
+		total += (l.erlangs-blocked)*l.worth - blocked*l.penalty
 	}
-	b := erlangB(shared, spill)
-	return total + (1-b)*earn - b*lose
+	return total
 }
 
 // counts are the calls offered in the window, by period and class; the last class is the two-leg calls.
@@ -347,7 +350,8 @@
 // loads is what is offered to a group: the worthiest class, other direct calls, two-leg calls. A split on the
 // handful of calls that a thin group sees jumps on noise: its counts are weighed against those of all groups.
 func (c *Controller) loads(e *exchange) []load {
-	out, last, fleet, own := make([]load, 3), len(c.set.Classes), 0.0, 0.0
+	out, last, fleet, own := []load{{width: max(1, c.set.Classes[c.top].Width)}, {width: 1}, {width: 1}},
+		len(c.set.Classes), 0.0, 0.0
 	for k := range c.set.Classes {
 		fleet += c.counts.of(k)
 		own += e.counts.of(k)
@@ -864,9 +868,7 @@
 // turnAway gives the final answer. A call that may have run where that is not safe is failed, never refused.
 func (c *Controller) turnAway(k *call) {
 	k.answered = true
-	if !k.out {
-		delete(c.calls, k.ID)
-	}
+	c.drop(k)
 	if k.mayRun && !c.set.Classes[k.Class].Safe || k.out {
 		c.host.Fail(k.ID)
 		return
@@ -908,7 +910,6 @@
 	case err != nil || k == nil || k.answered:
 	case now >= k.due:
 		c.turnAway(k)
-		c.drop(k)
 	case !k.out && now >= k.notBefore:
 		c.route(k)
 	}
