--- a/logic/logic.go
+++ b/logic/logic.go
@@ -487,8 +487,7 @@
 	e.delay, e.delayAt = old+time.Duration(smooth*float64(d-old)), c.now
 }
 
-// hear notes a sign of life. A return after a long silence is taken for a cold start: the danger is the herd
-// that pushes over a processor which has just come back.
+// hear notes a sign of life. A return after a long silence is taken for a cold start, against the herd.
 func (c *Controller) hear(e *exchange) {
 	if e.silent {
 		c.host.Log(fmt.Sprintf("heard exchange=%d", e.number))
