--- a/logic/logic.go
+++ b/logic/logic.go
@@ -667,8 +667,7 @@
 	if k.attempts == 0 {
 		c.counts[c.bucket()][len(c.set.Classes)]++
 	}
-	// A call that was turned back tries on with the chance that two-leg calls stand: else each costs five tries.
-	if !c.set.Pools && c.pressed(k.dest, k, true) || k.attempts > 0 && c.rng.Float64() > c.ease {
+	if !c.set.Pools && c.pressed(k.dest, k, true) {
 		return nil
 	}
 	if t := c.exchange(k.Via, false); c.usable(t, k) && c.rng.Float64() < c.trust {
