--- a/logic/logic.go
+++ b/logic/logic.go
@@ -447,13 +447,7 @@
 	}
 	room, own := e.free, e.held-e.used[len(c.set.Classes)]
 	if lowest || k.Class != c.top {
-		held := max(0, e.reserve-e.used[c.top])
-		for _, q := range e.queue { // a wide call would else never find its circuits free together
-			if q.waiting && !q.answered && q.Class == c.top {
-				held = max(held, q.Width)
-			}
-		}
-		room -= held
+		room -= max(0, e.reserve-e.used[c.top])
 	}
 	if lowest {
 		room -= max(0, e.direct-(own-min(e.reserve, e.used[c.top])))
