--- a/logic/logic.go
+++ b/logic/logic.go
@@ -468,7 +468,7 @@
 
 // ownDelay is the delay that all answers share, most likely the own processor's. Each quicker one lowers it.
 func (c *Controller) ownDelay() time.Duration {
-	if c.waiting == 0 && c.now-c.ownAt > 2*halfLife { // a jam that answers nothing is not over
+	if c.now-c.ownAt > 2*halfLife {
 		return 0
 	}
 	return c.own
