Tests that bite: guards taken out one at a time, random rules at 80 exchanges with restarts in groups and own pauses

Each of these lines was taken out and a test failed: the cold tokens, leaving the queue on a send, ages and delays without the own pause, time-outs of silent exchanges, whole calls in a wide reserve, no tandem over a cold exchange, one trial in all (four of them had no test before).

--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -391,8 +391,8 @@
 	k := b.h.calls[2]
 	k.out, k.notBefore = false, b.h.now+b.h.set.Release
 	b.c.Outcome(b.h.now, Outcome{Call: 2, Office: "o1", Status: TimedOut, Load: []float64{5, 30, -1}})
-	if k.attempts != 1 || len(b.h.problems) > 0 {
-		t.Errorf("%d attempts, %v", k.attempts, b.h.problems)
+	if k.attempts != 1 || k.over || len(b.h.problems) > 0 {
+		t.Errorf("%d attempts, over %v, %v", k.attempts, k.over, b.h.problems)
 	}
 }
 
@@ -421,25 +421,66 @@
 	}
 }
 
-// Guards against shedding everything because some exchanges are dead: their time-outs are not the own delay.
+// Guards against shedding everything because some exchanges are dead: once they are known to be silent, their
+// time-outs are not the own delay.
 func TestDeadExchangesDoNotPressOthers(t *testing.T) {
 	b := quietBed(t, nil)
-	b.call(0, 3, "fine")
+	var dead []uint64
+	for x := 1; x < 4; x++ {
+		b.call(0, x, fmt.Sprint("dead", x))
+		dead = append(dead, b.next)
+	}
+	for i := 0; i < 4; i++ {
+		b.h.now += 300 * time.Millisecond
+		b.c.Timer(b.h.now, "none")
+	}
+	for x := 1; x < 4; x++ {
+		b.c.quiet(b.c.exchange(x, false)) // as the next call to it finds
+	}
+	b.call(0, 4, "fine")
 	b.stand(b.next)
-	for i := 0; i < 30; i++ {
-		b.call(0, 1+i%2, fmt.Sprint(i))
-		if k := b.h.calls[b.next]; k.out {
-			k.out, k.notBefore = false, b.h.now+b.h.set.Release
-			b.c.Outcome(b.h.now, Outcome{Call: b.next, Attempt: k.attempts - 1, Office: k.office, Status: TimedOut,
-				Took: 3 * time.Second})
-		}
-		b.h.now += 100 * time.Millisecond
+	b.call(0, 4, "open")
+	for _, id := range dead {
+		k := b.h.calls[id]
+		k.out = false
+		b.c.Outcome(b.h.now, Outcome{Call: id, Attempt: k.attempts - 1, Office: k.office, Status: TimedOut, Took: 4 * time.Second})
 	}
-	if got := b.call(0, 4, "other"); got != "send 4" {
+	if got := b.call(0, 5, "other"); got != "send 5" {
 		t.Errorf("call to a live exchange: %q, own delay %v", got, b.c.ownDelay())
 	}
 }
 
+// Guards against one trial an exchange where the own processor is slow: among many exchanges that sheds nothing.
+func TestSlowOwnProcessorTriesOneInAll(t *testing.T) {
+	b := quietBed(t, nil)
+	for i := 0; i < 40; i++ {
+		b.c.observe(b.c.exchange(1+i%5, false), 2*time.Second, true)
+	}
+	for _, e := range b.c.exchanges {
+		e.delay = 0 // seen long ago, as in a large fleet
+	}
+	if got := b.call(0, 1, "a"); got != "send 1" {
+		t.Errorf("first call: %q", got)
+	}
+	if got := b.call(0, 2, "b"); got != "refuse " {
+		t.Errorf("call to another exchange meanwhile: %q", got)
+	}
+}
+
+// Guards against a cold budget spent on calls of others: a cold exchange is no tandem.
+func TestColdExchangeIsNoTandem(t *testing.T) {
+	b := quietBed(t, nil)
+	e, k := b.c.exchange(2, false), &call{Call: Call{Width: 1, Dest: 1}, dest: b.c.exchange(1, false)}
+	if !b.c.usable(e, k) {
+		t.Fatal("a warm exchange with room is a tandem")
+	}
+	b.c.chill(e, b.h.now)
+	e.tokens = 5
+	if b.c.usable(e, k) {
+		t.Error("a cold exchange with budget left is used as a tandem")
+	}
+}
+
 // Guards against Controllers that share memory through the slices of their settings.
 func TestSettingsAreCopied(t *testing.T) {
 	s := testSettings()
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -96,7 +96,7 @@
 			n++
 		}
 	}
-	limit := h.set.Overload * h.set.ColdFrom * testCapacity * h.set.TipAfter.Seconds() / float64(h.set.Instances)
+	limit := h.set.Overload * h.set.ColdFrom * testCapacity(h.set.Instances) * h.set.TipAfter.Seconds() / float64(h.set.Instances)
 	if float64(n) > limit+1 {
 		h.bad("%d set-ups to cold %s, budget %.1f", n, name, limit)
 	}
@@ -136,7 +136,8 @@
 	}
 }
 
-const testCapacity = 5 * 30 / 10.0 * 4 / 3 // five groups of 30 circuits, held for 10 s, at 3/4 of a processor
+// testCapacity is that of groups of 30 circuits to all others, held for 10 s, at 3/4 of a processor.
+func testCapacity(exchanges int) float64 { return float64(exchanges-1) * 30 / 10.0 * 4 / 3 }
 
 func testSettings() Settings {
 	return Settings{Me: 0, Instances: 6, Home: 0, MaxAttempts: 3, CanCancel: true, TellsWait: true, Tick: 5 * time.Millisecond,
@@ -173,13 +174,13 @@
 	}
 	b.c = c
 	var list []Office
-	for x := 0; x < 6; x++ {
+	for x := 0; x < s.Instances; x++ {
 		id := fmt.Sprintf("o%d", x)
 		list = append(list, Office{ID: id, Exchange: x})
 		b.h.office[id] = &watchedOffice{exchange: x, stopped: -1, coldSince: -1}
 	}
 	c.List(b.h.now, ListRestored, list)
-	for x := 1; x < 6; x++ {
+	for x := 1; x < s.Instances; x++ {
 		b.report(fmt.Sprintf("o%d", x), 30)
 	}
 }
@@ -199,7 +200,7 @@
 		}
 	}
 	if r.Intn(4) == 0 {
-		b.offer(1+r.Intn(5), r.Intn(5) == 0)
+		b.offer(1+r.Intn(h.set.Instances-1), r.Intn(5) == 0)
 	}
 	for n := len(h.out) / 12; n >= 0 && len(h.out) > 0; n-- {
 		if r.Intn(3) == 0 {
@@ -208,7 +209,7 @@
 	}
 	switch r.Intn(400) {
 	case 0, 1, 2:
-		b.report(fmt.Sprintf("o%d", 1+r.Intn(5)), float64(r.Intn(30)))
+		b.report(fmt.Sprintf("o%d", 1+r.Intn(h.set.Instances-1)), float64(r.Intn(30)))
 	case 3:
 		b.relist()
 	case 4:
@@ -255,7 +256,11 @@
 
 // relist drains, removes or restarts an exchange's office.
 func (b *bed) relist() {
-	x := b.rng.Intn(6)
+	b.restart(b.rng.Intn(b.h.set.Instances))
+}
+
+// restart takes the office of an exchange from the list and names a fresh one.
+func (b *bed) restart(x int) {
 	for id, o := range b.h.office {
 		if o.exchange == x && o.stopped < 0 {
 			o.stopped = b.h.now
@@ -291,6 +296,33 @@
 	}
 }
 
+// The rules at full size: many exchanges, a tenth of them restarted at one moment, and pauses of this call
+// server after which all that waited comes at once.
+func TestRulesInALargeFleet(t *testing.T) {
+	for seed := int64(1); seed <= 4; seed++ {
+		set := testSettings()
+		set.Instances, set.TellsWait = 80, seed%2 == 0
+		b := newBed(t, set, seed)
+		for i := 0; i < 9000; i++ {
+			b.step()
+			if i%2000 == 1999 {
+				for x := 0; x < 8; x++ {
+					b.restart(b.rng.Intn(set.Instances))
+				}
+			}
+			if i%1500 == 1499 { // what falls due in a pause is excused, and all the rest is not
+				for _, k := range b.h.calls {
+					k.due = max(k.due, b.h.now+2*time.Second+20*time.Millisecond)
+				}
+				b.h.now += 2 * time.Second
+			}
+		}
+		if len(b.h.problems) > 0 {
+			t.Errorf("seed %d: %d problems, first: %s", seed, len(b.h.problems), b.h.problems[0])
+		}
+	}
+}
+
 // The checker itself must find each kind of breach.
 func TestCheckerFindsBreaches(t *testing.T) {
 	for name, breach := range map[string]func(h *checker){
