Absurd class values are named by New; pairs without a group, unknown groups and odd numbers of instances are tested

No call was left without an answer and no rule broken where groups are empty or unknown and the instances told do not fit the list.

--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +23,68 @@
 	}
 }
 
+func TestNewRejectsAbsurdClasses(t *testing.T) {
+	for name, spoil := range map[string]func(*Class){
+		"NaN worth": func(k *Class) { k.Worth = math.NaN() }, "infinite worth": func(k *Class) { k.Worth = math.Inf(1) },
+		"negative worth": func(k *Class) { k.Worth = -1 }, "late share": func(k *Class) { k.LateShare = 1.5 },
+		"NaN share": func(k *Class) { k.LateShare = math.NaN() }, "hold": func(k *Class) { k.Hold = -1 },
+	} {
+		s := testSettings()
+		s.Host = newChecker(s)
+		spoil(&s.Classes[1])
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), "Classes") {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
+
+// Guards against groups that are absent, empty or unknown, and numbers of instances that do not fit the list.
+func TestPairsWithoutAGroup(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"as listed": func(s *Settings) {}, "one instance": func(s *Settings) { s.Instances = 1 },
+		"none": func(s *Settings) { s.Instances = 0 },
+	} {
+		s := testSettings()
+		change(&s)
+		h := newChecker(s)
+		s.Host = h
+		c, err := New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for x := 0; x < 6; x++ {
+			id := fmt.Sprint("o", x)
+			h.office[id] = &watchedOffice{exchange: x, stopped: -1, coldSince: -1}
+			c.List(h.now, ListUpdate, []Office{{ID: id, Exchange: x}})
+		}
+		c.Report(h.now, Report{Office: "o1", OK: true, Load: []float64{0, 0, -1}})
+		c.Report(h.now, Report{Office: "o2", OK: true, Load: []float64{5, 9, -1}}) // the others stay unknown
+		for id := uint64(1); id < 60; id++ {
+			dest, left := int(id%8), time.Duration(int64(id)-5)*50*time.Millisecond
+			h.calls[id] = &watched{dest: dest, due: h.now + max(left, 0)}
+			c.Offered(h.now, Call{ID: id, Dest: dest, Via: int(id%9) - 1, TimeLeft: left, Number: fmt.Sprint(id)})
+			if id%10 == 0 {
+				h.now += 5 * time.Second
+				c.Timer(h.now, "p")
+			}
+			for n := range h.calls {
+				if k := h.calls[n]; !k.out && !k.over {
+					k.due = max(k.due, h.now)
+					c.Timer(h.now+10*time.Second, fmt.Sprint("c", n))
+				}
+			}
+		}
+		for n, k := range h.calls {
+			if !k.out && !k.over {
+				t.Errorf("%s: call %d has no answer", name, n)
+			}
+		}
+		for _, p := range h.problems {
+			t.Errorf("%s: %s", name, p)
+		}
+	}
+}
+
 // quietBed has no random events; calls are placed by hand.
 func quietBed(t *testing.T, change func(*Settings)) *bed {
 	s := testSettings()
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -18,6 +18,9 @@
 		if k.Aim < 0 || k.Deadline < 0 || k.Hold < 0 || k.Width < 0 || k.Worth < 0 {
 			return fmt.Errorf("settings: Classes: %s has a negative value", k.Name)
 		}
+		if !(k.Worth <= 1e9) || !(k.LateShare >= 0 && k.LateShare <= 1) {
+			return fmt.Errorf("settings: Classes: %s has Worth %v, LateShare %v", k.Name, k.Worth, k.LateShare)
+		}
 	}
 	for _, t := range []struct {
 		name string
