--- /dev/null
+++ b/router/config.go
@@ -0,0 +1,169 @@
+// Package router is the call server as a library. A Router hosts one Controller of package logic with its calls,
+// circuits, associations and timers. Events and the time go in, effects come out: it has no sockets, files,
+// signals, clock or goroutines, so the same Router runs on sockets, in a model and in a user's tests. Which
+// calls are admitted, where they go, how long they wait and whether they are tried again is decided by the
+// Controller alone; this package carries it out in M3UA and ISUP.
+package router
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"finchlatch/logic"
+	"finchlatch/m3ua"
+	"finchlatch/numbering"
+	"finchlatch/trunk"
+)
+
+// Class is one class of call.
+type Class struct {
+	logic.Class
+	Category byte          // calling party's category that callers state for it
+	Patience time.Duration // how long a caller waits for the answer to one try
+}
+
+// Exchange is one exchange of the fleet, the own one among them.
+type Exchange struct {
+	Number    int    // as numbering entries name it
+	Name      string // the office of package logic
+	PointCode uint32
+}
+
+// PeerKind tells what is at the other end of an association.
+type PeerKind byte
+
+// Kinds of peer.
+const (
+	PeerExchange    PeerKind = iota // another call server, over a both-way trunk group
+	PeerClient                      // counters or another switch, which only call in
+	PeerSubscribers                 // the lines of the own numbers, which are only called
+)
+
+// String names the kind.
+func (k PeerKind) String() string { return [...]string{"exchange", "client", "subscribers"}[k] }
+
+// Peer is a signalling relation with its trunk group.
+type Peer struct {
+	Name      string // of an exchange: its name in Exchanges
+	Kind      PeerKind
+	PointCode uint32
+	Circuits  []uint16
+	Assoc     m3ua.Settings
+}
+
+// Config is what a Router is made of.
+type Config struct {
+	Name       string // of the own exchange
+	Exchanges  []Exchange
+	Peers      []Peer
+	Classes    []Class
+	Numbering  []numbering.Entry
+	Instances  int // call servers that share the exchanges; 0: one for each exchange
+	Attempts   int // most attempts for one call; 0: no limit
+	Tick       time.Duration
+	Release    time.Duration // rule 5
+	DrainGrace time.Duration // rule 3
+	TipAfter   time.Duration // rule 4, as in logic.Settings
+	Overload   float64
+	ColdFrom   float64
+	ColdFor    time.Duration
+	Timers     trunk.Timers
+	Recovery   time.Duration // a lost association keeps its calls for this long
+	Network    byte          // network indicator: 2 national
+	Hops       int           // hop counter of own calls; 0: 3
+}
+
+// DefaultRecovery is how long a lost association keeps its calls: T(r) of RFC 4666 is 2 s, and a counter client
+// reconnects within one T(ack).
+const DefaultRecovery = 4 * time.Second
+
+// defaultHops lets a call pass one tandem, and one more exchange where it interworks.
+const defaultHops = 3
+
+// maxRepeats is how often a set-up that lost a dual seizure is repeated on another circuit within its attempt.
+// Q.764 2.9.1.4 asks for one repeat; two cover a group that is nearly full from both ends.
+const maxRepeats = 2
+
+// own finds the own exchange.
+func (c *Config) own() (Exchange, error) {
+	for _, e := range c.Exchanges {
+		if e.Name == c.Name {
+			return e, nil
+		}
+	}
+	return Exchange{}, fmt.Errorf("router: own exchange %q is not among the exchanges", c.Name)
+}
+
+// Check names the first thing that makes no sense in a Config, all of its parts taken together.
+func (c *Config) Check() error {
+	if _, err := c.own(); err != nil {
+		return err
+	}
+	if len(c.Classes) == 0 {
+		return errors.New("router: no classes")
+	}
+	names, codes, numbers := map[string]bool{}, map[uint32]string{}, map[int]bool{}
+	for _, e := range c.Exchanges {
+		if names[e.Name] || numbers[e.Number] {
+			return fmt.Errorf("router: exchange %q or its number %d stands twice", e.Name, e.Number)
+		}
+		if other, ok := codes[e.PointCode]; ok || e.PointCode > 0x3fff {
+			return fmt.Errorf("router: exchange %q: point code %d is not free (%s) or over 14 bits", e.Name, e.PointCode, other)
+		}
+		names[e.Name], numbers[e.Number], codes[e.PointCode] = true, true, e.Name
+	}
+	peers := map[string]bool{}
+	for _, p := range c.Peers {
+		if peers[p.Name] {
+			return fmt.Errorf("router: peer %q stands twice", p.Name)
+		}
+		peers[p.Name] = true
+		if p.Kind == PeerExchange && (!names[p.Name] || codes[p.PointCode] != p.Name || p.Name == c.Name) {
+			return fmt.Errorf("router: peer %q with point code %d is no other exchange", p.Name, p.PointCode)
+		}
+		if other, ok := codes[p.PointCode]; ok && p.Kind != PeerExchange {
+			return fmt.Errorf("router: peer %q has the point code %d of %s", p.Name, p.PointCode, other)
+		}
+	}
+	return c.checkRules()
+}
+
+func (c *Config) checkRules() error {
+	categories := map[byte]string{}
+	for _, k := range c.Classes {
+		if other, ok := categories[k.Category]; ok {
+			return fmt.Errorf("router: classes %s and %s have the same category %d", other, k.Name, k.Category)
+		}
+		categories[k.Category] = k.Name
+		if k.Patience <= 0 || k.Patience > k.Deadline && k.Deadline > 0 {
+			return fmt.Errorf("router: class %s: patience %v is not between 0 and its deadline %v", k.Name, k.Patience, k.Deadline)
+		}
+		if k.Width < 1 || k.Width > 30 || k.Width == 25 {
+			return fmt.Errorf("router: class %s: no transmission medium has %d circuits", k.Name, k.Width)
+		}
+	}
+	if c.Release <= 0 || c.DrainGrace <= 0 {
+		return fmt.Errorf("router: rules: release %v and drain grace %v must be positive", c.Release, c.DrainGrace)
+	}
+	return nil
+}
+
+// settings are the Controller's.
+func (c *Config) settings(host logic.Host, home int) logic.Settings {
+	s := logic.Settings{Host: host, Instances: c.Instances, Home: home, MaxAttempts: c.Attempts, CanCancel: true,
+		ReportFields: []string{"spare", "total"}, Tick: c.Tick, Release: c.Release, DrainGrace: c.DrainGrace,
+		TipAfter: c.TipAfter, Overload: c.Overload, ColdFrom: c.ColdFrom, ColdFor: c.ColdFor}
+	if s.Instances == 0 {
+		s.Instances = len(c.Exchanges)
+	}
+	for i, e := range c.Exchanges {
+		if e.Number == home {
+			s.Me = i
+		}
+	}
+	for _, k := range c.Classes {
+		s.Classes = append(s.Classes, k.Class)
+	}
+	return s
+}
--- /dev/null
+++ b/router/effects.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"log/slog"
+	"time"
+
+	"finchlatch/isup"
+)
+
+// PeerID is the place of a peer in Config.Peers.
+type PeerID int
+
+// Effect is something that the shell around a Router carries out or may look at.
+type Effect interface{ effect() }
+
+// Write asks for bytes to be written on the connection of a peer, in order.
+type Write struct {
+	Peer  PeerID
+	Bytes []byte
+}
+
+// Close asks for the connection of a peer to be closed.
+type Close struct {
+	Peer PeerID
+	Err  error
+}
+
+// Log is a line for the operators. Call is 0 where none is concerned.
+type Log struct {
+	Level slog.Level
+	Text  string
+	Call  uint64
+	Attrs []slog.Attr
+}
+
+// Act is what a Decision does.
+type Act byte
+
+// Acts of the Controller.
+const (
+	ActSend Act = iota
+	ActRefuse
+	ActFail
+	ActCancel
+)
+
+// String names the act.
+func (a Act) String() string { return [...]string{"send", "refuse", "fail", "cancel"}[a] }
+
+// Decision tells what the Controller decided; it has been carried out already.
+type Decision struct {
+	At      time.Duration
+	Call    uint64
+	Act     Act
+	Attempt int
+	Office  string
+}
+
+// Verdict is a final answer.
+type Verdict byte
+
+// Final answers. HungUp: the caller left first, and none was owed.
+const (
+	Stands Verdict = iota
+	Refused
+	Failed
+	HungUp
+)
+
+// String names the verdict.
+func (v Verdict) String() string { return [...]string{"stands", "refused", "failed", "hung up"}[v] }
+
+// Answer tells of the final answer of a call; it has been sent already. Calls that end here, at their
+// destination, and calls in transit get answers too.
+type Answer struct {
+	At      time.Duration
+	Call    uint64
+	Verdict Verdict
+	Cause   isup.Cause // 0 where it stands
+	Took    time.Duration
+	Transit bool // in transit or ending here: not a call of an own caller
+}
+
+func (Write) effect()    {}
+func (Close) effect()    {}
+func (Log) effect()      {}
+func (Decision) effect() {}
+func (Answer) effect()   {}
