--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,478 @@
+// Package server is the daemon around one Router: TCP connections, the clock, logs, the drain and the operators'
+// console. One goroutine owns the Router; each connection has a reader and a writer with bounded queues. It
+// decides nothing about calls.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"finchlatch/config"
+	"finchlatch/logic"
+	"finchlatch/m3ua"
+	"finchlatch/router"
+)
+
+// Server runs one call server.
+type Server struct {
+	cfg      *config.Config
+	log      *slog.Logger
+	router   *router.Router
+	began    time.Time
+	inputs   chan input
+	done     chan struct{} // closed when the loop has ended
+	stop     chan struct{} // closed to end at once
+	stopOnce sync.Once
+	links    map[router.PeerID]*link
+	wg       sync.WaitGroup
+	listener net.Listener
+	console  net.Listener
+	list     []logic.Office
+	answers  [4]uint64
+}
+
+// input is something that the loop does with the Router.
+type input func(now time.Duration)
+
+// ErrStopped is returned by calls to a server that has ended.
+var ErrStopped = errors.New("server: has ended")
+
+// Option changes a Server before it starts.
+type Option func(*Server)
+
+// WithListeners uses listeners that are open already, in place of the addresses in the configuration; either
+// may be nil.
+func WithListeners(signalling, console net.Listener) Option {
+	return func(s *Server) { s.listener, s.console = signalling, console }
+}
+
+// WithList starts with the exchange list as it was last known.
+func WithList(list []logic.Office) Option { return func(s *Server) { s.list = list } }
+
+// New makes a Server from a checked configuration.
+func New(cfg *config.Config, log *slog.Logger, options ...Option) (*Server, error) {
+	r, err := router.New(cfg.Router, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg, log: log.With("exchange", cfg.Router.Name), router: r, inputs: make(chan input, 256),
+		done: make(chan struct{}), stop: make(chan struct{}), links: map[router.PeerID]*link{}}
+	for _, o := range options {
+		o(s)
+	}
+	return s, nil
+}
+
+// Start opens the addresses and begins work.
+func (s *Server) Start() error {
+	var err error
+	if s.listener == nil && s.cfg.Listen != "" {
+		if s.listener, err = net.Listen("tcp", s.cfg.Listen); err != nil {
+			return fmt.Errorf("server: listen: %w", err)
+		}
+	}
+	if s.console == nil && s.cfg.Console != "" {
+		if s.console, err = net.Listen("tcp", s.cfg.Console); err != nil {
+			return errors.Join(fmt.Errorf("server: console: %w", err), closeListener(s.listener))
+		}
+	}
+	s.began = time.Now()
+	s.wg.Add(1)
+	go s.loop()
+	if s.listener != nil {
+		s.wg.Add(1)
+		go s.accept()
+	}
+	if s.console != nil {
+		s.wg.Add(1)
+		go s.acceptConsole()
+	}
+	for id, addr := range s.cfg.Dial {
+		s.wg.Add(1)
+		go s.dial(id, addr)
+	}
+	s.log.Info("started", "listen", addressOf(s.listener), "console", addressOf(s.console), "peers", len(s.cfg.Router.Peers))
+	return nil
+}
+
+func closeListener(l net.Listener) error {
+	if l == nil {
+		return nil
+	}
+	return l.Close()
+}
+
+func addressOf(l net.Listener) string {
+	if l == nil {
+		return "none"
+	}
+	return l.Addr().String()
+}
+
+// Addr is the address of the M3UA listener, or nil.
+func (s *Server) Addr() net.Addr {
+	if s.listener == nil {
+		return nil
+	}
+	return s.listener.Addr()
+}
+
+// ConsoleAddr is the address of the operators' console, or nil.
+func (s *Server) ConsoleAddr() net.Addr {
+	if s.console == nil {
+		return nil
+	}
+	return s.console.Addr()
+}
+
+// Run works until the context ends, then drains: calls held get their answers, standing ones may go on until the
+// configured drain time is over, and the associations are taken down in order.
+func (s *Server) Run(ctx context.Context) error {
+	if err := s.Start(); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-s.done:
+		return ErrStopped
+	}
+	return s.Shutdown(s.cfg.Drain)
+}
+
+// Shutdown drains for at most the time given and ends the server.
+func (s *Server) Shutdown(within time.Duration) error {
+	s.log.Info("draining", "within", within)
+	if err := s.Do(func(r *router.Router, now time.Duration) { r.Drain(now) }); err != nil {
+		return err
+	}
+	limit := time.NewTimer(within)
+	defer limit.Stop()
+	poll := time.NewTicker(20 * time.Millisecond)
+	defer poll.Stop()
+	for waiting := true; waiting; {
+		held := 0
+		if err := s.Do(func(r *router.Router, now time.Duration) { held, _ = r.Held() }); err != nil {
+			return err
+		}
+		select {
+		case <-limit.C:
+			waiting = false
+		case <-poll.C:
+			waiting = held > 0
+		}
+		if held == 0 {
+			waiting = false
+		}
+	}
+	err := s.Do(func(r *router.Router, now time.Duration) {
+		r.ReleaseAll(now)
+		r.Leave(now)
+	})
+	s.flushLinks()
+	s.Kill()
+	s.log.Info("ended", "stands", s.answers[router.Stands], "refused", s.answers[router.Refused],
+		"failed", s.answers[router.Failed], "hung_up", s.answers[router.HungUp])
+	return err
+}
+
+// flushTime is how long the last messages may take to be written.
+const flushTime = time.Second
+
+func (s *Server) flushLinks() {
+	deadline := time.Now().Add(flushTime)
+	var links []*link
+	_ = s.Do(func(*router.Router, time.Duration) {
+		for _, l := range s.links {
+			links = append(links, l)
+		}
+	})
+	for _, l := range links {
+		l.drain(deadline)
+	}
+}
+
+// Kill ends the server at once, as a crash would: nothing is answered.
+func (s *Server) Kill() {
+	s.stopOnce.Do(func() { close(s.stop) })
+	_ = closeListener(s.listener)
+	_ = closeListener(s.console)
+	<-s.done
+	s.wg.Wait()
+}
+
+// Do runs f on the Router, between two events.
+func (s *Server) Do(f func(r *router.Router, now time.Duration)) error {
+	ran := make(chan struct{})
+	if !s.post(func(now time.Duration) { f(s.router, now); close(ran) }) {
+		return ErrStopped
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-s.done:
+		return ErrStopped
+	}
+}
+
+// post hands an input to the loop; false: the server has ended.
+func (s *Server) post(in input) bool {
+	select {
+	case s.inputs <- in:
+		return true
+	case <-s.stop:
+		return false
+	}
+}
+
+// loop owns the Router.
+func (s *Server) loop() {
+	defer s.wg.Done()
+	defer close(s.done)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	s.router.Start(s.now(), s.list)
+	s.carryOut()
+	for {
+		if at, ok := s.router.Next(); ok {
+			timer.Reset(max(0, at-s.now()))
+		} else {
+			timer.Reset(time.Hour)
+		}
+		select {
+		case in := <-s.inputs:
+			in(s.now())
+			s.more()
+		case <-timer.C:
+		case <-s.stop:
+			s.closeLinks()
+			return
+		}
+		s.router.Advance(s.now())
+		s.carryOut()
+	}
+}
+
+// batch is how many inputs are handled before their effects are carried out: a burst costs fewer writes, and
+// none waits longer than a batch takes, some hundred microseconds.
+const batch = 64
+
+// more handles what else has come.
+func (s *Server) more() {
+	for range batch {
+		select {
+		case in := <-s.inputs:
+			in(s.now())
+		default:
+			return
+		}
+	}
+}
+
+// Epoch is the time at the start: what is said to have started some time ago has a time too.
+const Epoch = time.Hour
+
+func (s *Server) now() time.Duration { return Epoch + time.Since(s.began) }
+
+// carryOut does what the Router asks for.
+func (s *Server) carryOut() {
+	for _, e := range s.router.Effects() {
+		switch e := e.(type) {
+		case router.Write:
+			if l := s.links[e.Peer]; l != nil && !l.write(e.Bytes, s.cfg.QueueBytes) {
+				s.log.Warn("peer does not read: connection closed", "peer", s.cfg.Router.Peers[e.Peer].Name)
+				l.close()
+			}
+		case router.Close:
+			if l := s.links[e.Peer]; l != nil {
+				l.close()
+			}
+		case router.Log:
+			s.logLine(e)
+		case router.Answer:
+			if !e.Transit {
+				s.answers[e.Verdict]++
+			}
+		}
+	}
+}
+
+func (s *Server) logLine(e router.Log) {
+	ctx := context.Background()
+	if !s.log.Enabled(ctx, e.Level) {
+		return
+	}
+	attrs := e.Attrs
+	if e.Call != 0 {
+		attrs = append(attrs[:len(attrs):len(attrs)], slog.Uint64("call", e.Call))
+	}
+	s.log.LogAttrs(ctx, e.Level, e.Text, attrs...)
+}
+
+func (s *Server) closeLinks() {
+	for _, l := range s.links {
+		l.close()
+	}
+}
+
+// identifyTime is how long an accepted connection may take to say who it is.
+const identifyTime = 5 * time.Second
+
+func (s *Server) accept() {
+	defer s.wg.Done()
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			stopped := context.AfterFunc(s.context(), func() { conn.Close() })
+			id, first, err := s.identify(conn)
+			if !stopped() || err != nil {
+				if err != nil {
+					s.log.Warn("connection refused", "from", conn.RemoteAddr().String(), "err", err)
+				}
+				conn.Close()
+				return
+			}
+			s.serve(id, conn, first)
+		}()
+	}
+}
+
+// context ends with the server.
+func (s *Server) context() context.Context { return stopContext{s.stop} }
+
+// identify finds out which peer has connected, by the ASP identifier in its ASPUP.
+func (s *Server) identify(conn net.Conn) (router.PeerID, []byte, error) {
+	_ = conn.SetReadDeadline(time.Now().Add(identifyTime))
+	defer conn.SetReadDeadline(time.Time{})
+	framer := m3ua.Framer{Max: s.cfg.MessageBytes}
+	var got []byte
+	buf := make([]byte, 4096)
+	for {
+		raw, err := framer.Next()
+		if err != nil {
+			return 0, nil, err
+		}
+		if raw != nil {
+			asp, err := m3ua.Identify(raw)
+			if err == nil {
+				if id, ok := s.cfg.Identity[asp]; ok {
+					return id, got, nil
+				}
+				err = &m3ua.Fault{Code: m3ua.ErrIDInvalid, Text: fmt.Sprintf("ASP identifier %d is not configured", asp)}
+			}
+			var fault *m3ua.Fault
+			if errors.As(err, &fault) {
+				_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+				_, _ = conn.Write(m3ua.Reject(fault))
+			}
+			return 0, nil, err
+		}
+		n, err := conn.Read(buf)
+		got = append(got, buf[:n]...)
+		framer.Write(buf[:n])
+		if err != nil && n == 0 {
+			return 0, nil, err
+		}
+	}
+}
+
+// Pauses between tries to connect to a peer.
+const (
+	firstRedial = 100 * time.Millisecond
+	lastRedial  = 2 * time.Second
+	dialTime    = 2 * time.Second
+)
+
+func (s *Server) dial(id router.PeerID, addr string) {
+	defer s.wg.Done()
+	ctx := s.context()
+	pause := firstRedial
+	for ctx.Err() == nil {
+		d := net.Dialer{Timeout: dialTime}
+		conn, err := d.DialContext(ctx, "tcp", addr)
+		if err == nil {
+			pause = firstRedial
+			s.serve(id, conn, nil)
+		}
+		select {
+		case <-time.After(pause):
+		case <-s.stop:
+			return
+		}
+		pause = min(2*pause, lastRedial)
+	}
+}
+
+// serve works on one connection until it ends.
+func (s *Server) serve(id router.PeerID, conn net.Conn, first []byte) {
+	l := newLink(conn)
+	if t, ok := conn.(*net.TCPConn); ok {
+		_ = t.SetNoDelay(true)
+	}
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		l.writeLoop()
+	}()
+	if !s.post(func(now time.Duration) { s.up(now, id, l, first) }) {
+		l.close()
+		return
+	}
+	s.read(id, l)
+	l.close()
+	s.post(func(now time.Duration) { s.down(now, id, l) })
+}
+
+func (s *Server) up(now time.Duration, id router.PeerID, l *link, first []byte) {
+	if old := s.links[id]; old != nil { // the newest connection of a peer counts
+		old.close()
+		s.router.Disconnected(now, id, old.written())
+	}
+	s.links[id] = l
+	s.router.Connected(now, id)
+	if len(first) > 0 {
+		s.router.Receive(now, id, first)
+	}
+}
+
+func (s *Server) down(now time.Duration, id router.PeerID, l *link) {
+	if s.links[id] == l {
+		delete(s.links, id)
+		s.router.Disconnected(now, id, l.written())
+	}
+}
+
+// read hands what comes to the loop, one piece at a time: a peer that sends faster than calls are handled is
+// slowed down by TCP.
+func (s *Server) read(id router.PeerID, l *link) {
+	for {
+		buf := make([]byte, 4096)
+		n, err := l.conn.Read(buf)
+		if n > 0 {
+			ok := s.post(func(now time.Duration) {
+				if s.links[id] == l {
+					s.router.Receive(now, id, buf[:n])
+				}
+			})
+			if !ok {
+				return
+			}
+		}
+		if err != nil {
+			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+				s.log.Debug("connection ended", "peer", s.cfg.Router.Peers[id].Name, "err", err)
+			}
+			return
+		}
+	}
+}
