--- a/cmd/finchlatch/try.go
+++ b/cmd/finchlatch/try.go
@@ -7,12 +7,14 @@
 
 	"github.com/spf13/cobra"
 
+	"finchlatch/internal/rulecheck"
 	"finchlatch/internal/standin"
 )
 
 func tryCommand() *cobra.Command {
 	var set standin.FleetSettings
 	var script, level string
+	var trace bool
 	c := &cobra.Command{Use: "try", Short: "Play a day of troubles on a fleet of call servers on loopback, and judge the rules",
 		Long: "Starts a fleet of exchanges in this process, each with its own call server, joined by M3UA over TCP on loopback,\n" +
 			"plays a script of troubles, and reports what callers met and whether the five rules were kept. Exit status 1\n" +
@@ -34,7 +36,7 @@
 				return err
 			}
 			set.Classes, set.Habits, set.Log = standin.DefaultClasses(), standin.DefaultHabits(), log
-			return try(cmd, set, day)
+			return try(cmd, set, day, trace)
 		}}
 	for _, k := range standin.KindNames() {
 		c.Long += "  " + k + "\n"
@@ -44,11 +46,12 @@
 	c.Flags().Float64Var(&set.Rate, "rate", 120, "first tries a second, of all callers together")
 	c.Flags().IntVar(&set.Exchanges, "exchanges", 12, "exchanges, each with its own call server")
 	c.Flags().IntVar(&set.Regions, "regions", 2, "regions that the exchanges lie in")
+	c.Flags().BoolVar(&trace, "trace", false, "on a broken rule, list what passed on the circuits of the first call concerned")
 	c.Flags().StringVar(&level, "log", "error", "least level of the call servers' log lines")
 	return c
 }
 
-func try(cmd *cobra.Command, set standin.FleetSettings, day standin.Script) error {
+func try(cmd *cobra.Command, set standin.FleetSettings, day standin.Script, trace bool) error {
 	out := cmd.OutOrStdout()
 	if set.Exchanges < 3 || set.Exchanges > 64 || set.Rate <= 0 || set.Rate > 5000 {
 		return fmt.Errorf("--exchanges takes 3 to 64, --rate 0 to 5000")
@@ -91,7 +94,12 @@
 	<-ended
 	r := f.Report(time.Since(start))
 	r.Write(out)
-	if len(r.Verdict.Breaches) > 0 || len(r.Fallen) > 0 {
+	if len(r.Verdict.Breaches) > 0 {
+		if trace {
+			for _, line := range rulecheck.Trace(f.Rec.Records(), r.Verdict.Breaches[0].Call) {
+				fmt.Fprintln(out, line)
+			}
+		}
 		return errBroken
 	}
 	return nil
--- a/internal/rulecheck/rulecheck.go
+++ b/internal/rulecheck/rulecheck.go
@@ -72,7 +72,7 @@
 
 // String tells it in one line.
 func (b Breach) String() string {
-	return fmt.Sprintf("rule %d at %v: %s: call %s: %s", b.Rule, b.At.Round(time.Millisecond), b.Exchange, b.Call, b.Text)
+	return fmt.Sprintf("rule %d at %v: %s: call %x: %s", b.Rule, b.At.Round(time.Millisecond), b.Exchange, b.Call, b.Text)
 }
 
 // Verdict is what a run showed.
