--- a/internal/rulecheck/messages.go
+++ b/internal/rulecheck/messages.go
@@ -42,7 +42,13 @@
 	case isup.ANM, isup.CON, isup.ACM, isup.CPG:
 		c.backward(s, l, r, m)
 	case isup.RSC:
-		c.reset(s, l, r, []uint16{m.CIC})
+		c.reset(s, l, r, m, []uint16{m.CIC})
+	case isup.GRA:
+		if rng, err := m.RangeStatus(); err == nil && !r.Out {
+			for i := 0; i <= rng.Range; i++ {
+				delete(l.releasing, m.CIC+uint16(i))
+			}
+		}
 	case isup.UCIC:
 		if g := l.out[m.CIC]; !r.Out && g != nil {
 			c.drop(s, l, g, r.At, false)
@@ -63,11 +69,11 @@
 			cics = append(cics, m.CIC+uint16(i))
 		}
 	}
-	c.reset(s, l, r, cics)
+	c.reset(s, l, r, m, cics)
 }
 
 // reset ends whatever is on circuits. The caller of a call reset on its own side is not owed an answer.
-func (c *checker) reset(s *server, l *link, r Record, cics []uint16) {
+func (c *checker) reset(s *server, l *link, r Record, m *isup.Message, cics []uint16) {
 	for _, cic := range cics {
 		for _, legs := range []map[uint16]*leg{l.in, l.out} {
 			for _, g := range legs {
@@ -82,6 +88,11 @@
 			}
 		}
 	}
+	if r.Out && m.Type != isup.CGB { // until the acknowledgement these take no call
+		for _, cic := range cics {
+			l.releasing[cic] = []uint16{cic}
+		}
+	}
 }
 
 // drop takes a leg off a link. An incoming one is excused; an outgoing one is over.
--- a/internal/standin/wire.go
+++ b/internal/standin/wire.go
@@ -194,9 +194,10 @@
 // deliver hands a frame to the end that it goes to.
 func (s *session) deliver(d direction, frame []byte) {
 	from, to := s.ends(d)
-	s.tap(to, from, false, frame)
-	s.follow(d, 1-d, frame)
-	s.out[d].write(frame)
+	s.out[d].write(frame, func() {
+		s.tap(to, from, false, frame)
+		s.follow(d, 1-d, frame)
+	})
 }
 
 // isupOf finds the ISUP message in a frame, without its parameters.
@@ -370,13 +371,15 @@
 	return p
 }
 
-func (p *pipe) write(b []byte) {
+// write queues a frame; taken is called first where the connection still takes it.
+func (p *pipe) write(b []byte, taken func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.queue) > pipeMost {
 		p.over = true
 	}
 	if !p.over {
+		taken()
 		p.queue = append(p.queue, b...)
 	}
 	p.wake.Signal()
--- a/router/config.go
+++ b/router/config.go
@@ -139,7 +139,7 @@
 		if k.Patience <= 0 || k.Patience > k.Deadline && k.Deadline > 0 {
 			return fmt.Errorf("router: class %s: patience %v is not between 0 and its deadline %v", k.Name, k.Patience, k.Deadline)
 		}
-		if k.Width < 1 || k.Width > 30 || k.Width == 25 {
+		if k.Width < 1 || k.Width > 30 {
 			return fmt.Errorf("router: class %s: no transmission medium has %d circuits", k.Name, k.Width)
 		}
 	}
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,405 @@
+package router
+
+import (
+	"errors"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"finchlatch/isup"
+	"finchlatch/logic"
+)
+
+func TestCallThereAndBack(t *testing.T) {
+	n := newNet(t, 2, 4)
+	n.call("a", 1, "5521", 1)
+	n.call("a", 4, "5522", 2)
+	n.run(n.now + time.Second)
+	for _, cic := range []uint16{1, 4} {
+		if got := n.heard("a", cic); !slices.Equal(got, []isup.Type{isup.ACM, isup.ANM}) {
+			t.Errorf("circuit %d: %v", cic, got)
+		}
+	}
+	if g := n.routers["a"].Groups()[0]; g.Spare != 1 || g.Out != 3 {
+		t.Errorf("group %+v", g)
+	}
+	n.ends["a/counters"].send(isup.NewRelease(1, isup.ReleaseInfo{Cause: 16}))
+	n.ends["a/counters"].send(isup.NewRelease(4, isup.ReleaseInfo{Cause: 16}))
+	n.run(n.now + time.Second)
+	if err := n.idle(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestTandemAndTurnBack(t *testing.T) {
+	n := newNet(t, 3, 1)
+	n.call("a", 1, "5521", 1) // takes the direct circuit
+	n.run(n.now + time.Second)
+	n.call("a", 2, "5522", 1) // over c
+	n.run(n.now + time.Second)
+	if got := n.heard("a", 2); !slices.Equal(got, []isup.Type{isup.ACM, isup.ANM}) {
+		t.Fatalf("over the tandem: %v; %v", got, n.decisions("a"))
+	}
+	if calls := n.routers["c"].Calls(n.now, 9); len(calls) != 1 || calls[0].From != "a" || calls[0].To != "b" {
+		t.Errorf("at the tandem: %+v", calls)
+	}
+	n.call("b", 1, "5511", 1) // no circuit anywhere: refused with cause 34
+	n.run(n.now + 3*time.Second)
+	if got, cause := n.heard("b", 1), n.cause("b", 1); !slices.Equal(got, []isup.Type{isup.REL}) || cause != isup.CauseNoCircuit {
+		t.Errorf("without a circuit: %v, cause %d", got, cause)
+	}
+	for _, cic := range []uint16{1, 2} {
+		n.ends["a/counters"].send(isup.NewRelease(cic, isup.ReleaseInfo{Cause: 16}))
+	}
+	n.run(n.now + time.Second)
+	if err := n.idle(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCausesReachTheCaller(t *testing.T) {
+	n := newNet(t, 2, 4)
+	lines := n.ends["b/lines"]
+	lines.on = func(m *isup.Message) {
+		if m.Type == isup.IAM {
+			lines.send(isup.NewRelease(m.CIC, isup.ReleaseInfo{Cause: isup.CauseUserBusy}))
+		}
+	}
+	n.call("a", 1, "5521", 1)
+	n.call("a", 2, "5591", 1) // no such prefix
+	n.run(n.now + time.Second)
+	if c := n.cause("a", 1); c != isup.CauseUserBusy {
+		t.Errorf("busy number: cause %d", c)
+	}
+	if c := n.cause("a", 2); c != isup.CauseUnallocated {
+		t.Errorf("unallocated number: cause %d", c)
+	}
+	if err := n.idle(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A silent far end: the caller gets one answer before the patience is over, and what the attempt held is released.
+func TestNoAnswerInTime(t *testing.T) {
+	n := newNet(t, 2, 4)
+	n.ends["b/lines"].on = nil
+	start := n.now
+	n.call("a", 1, "5521", 1)
+	n.run(start + 2900*time.Millisecond)
+	if got := n.heard("a", 1); len(got) != 0 {
+		t.Fatalf("told %v early", got)
+	}
+	n.run(start + 3*time.Second)
+	if got := n.heard("a", 1); !slices.Equal(got, []isup.Type{isup.REL}) {
+		t.Errorf("at the end: %v", got)
+	}
+	n.ends["b/lines"].on = func(m *isup.Message) {
+		if m.Type == isup.REL {
+			n.ends["b/lines"].send(isup.Simple(isup.RLC, m.CIC))
+		}
+	}
+	n.run(start + 8*time.Second)
+	if err := n.idle(); err != nil {
+		t.Error(err)
+	}
+}
+
+// The answer and the time-out cross on the wire: the caller gets the time-out only, and the late answer dies.
+func TestAnswerCrossesTimeOut(t *testing.T) {
+	n := newNet(t, 2, 4)
+	lines := n.ends["b/lines"]
+	lines.on = func(m *isup.Message) {
+		switch m.Type {
+		case isup.IAM:
+			n.after(2970*time.Millisecond, func() { lines.send(isup.Simple(isup.ANM, m.CIC)) })
+		case isup.REL:
+			lines.send(isup.Simple(isup.RLC, m.CIC))
+		}
+	}
+	n.delay = 15 * time.Millisecond
+	n.call("a", 1, "5521", 1)
+	n.run(n.now + 6*time.Second)
+	if got := n.heard("a", 1); !slices.Equal(got, []isup.Type{isup.REL}) {
+		t.Errorf("caller heard %v", got)
+	}
+	if err := n.idle(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestDualSeizureRepeatsOnAnotherCircuit(t *testing.T) {
+	n := newNet(t, 2, 3)
+	n.call("a", 1, "5521", 1)
+	n.call("b", 1, "5511", 1)
+	n.run(n.now + time.Second)
+	n.call("a", 2, "5522", 1) // the last circuit, from both ends at once
+	n.call("b", 2, "5512", 1)
+	n.run(n.now + 4*time.Second)
+	a, b := n.heard("a", 2), n.heard("b", 2)
+	stood := []isup.Type{isup.ACM, isup.ANM}
+	if slices.Equal(a, stood) == slices.Equal(b, stood) || !slices.Equal(a, stood) && !slices.Equal(a, []isup.Type{isup.REL}) {
+		t.Errorf("one should stand: %v and %v", a, b)
+	}
+	m := newNet(t, 2, 4) // with one more the loser is repeated on it
+	m.call("a", 1, "5521", 2)
+	m.run(m.now + time.Second)
+	m.call("a", 3, "5522", 1)
+	m.call("b", 3, "5512", 2)
+	m.run(m.now + 4*time.Second)
+	if a, b := m.heard("a", 3), m.heard("b", 3); len(a) == 0 || !slices.Equal(b, stood) {
+		t.Errorf("the wide call should stand: %v and %v", a, b)
+	}
+}
+
+func TestAssociationLost(t *testing.T) {
+	n := newNet(t, 3, 2)
+	n.ends["b/lines"].on = nil
+	n.call("a", 1, "5521", 1)
+	n.run(n.now + 100*time.Millisecond)
+	a := n.routers["a"]
+	id, _ := a.Peer("b")
+	lost := n.now
+	n.cut[link("a", "b")] = true
+	a.Disconnected(n.now, id, -1)
+	n.carry("a")
+	n.run(lost + 2*time.Second)
+	var sends []time.Duration
+	for _, s := range n.iams {
+		if s.from == "a" && s.at > lost {
+			sends = append(sends, s.at-lost)
+		}
+	}
+	for _, s := range sends {
+		if s < 200*time.Millisecond {
+			t.Errorf("sent again %v after the reset", s)
+		}
+	}
+	n.run(lost + 4*time.Second)
+	if got := n.heard("a", 1); len(got) == 0 || got[len(got)-1] != isup.REL {
+		t.Errorf("caller heard %v", got)
+	}
+}
+
+func TestNeverWrittenIsNoConnect(t *testing.T) {
+	n := newNet(t, 2, 2)
+	a := n.routers["a"]
+	id, _ := a.Peer("b")
+	written := a.peers[id].offset
+	n.cut[link("a", "b")] = true
+	n.call("a", 1, "5521", 1)
+	n.run(n.now + 10*time.Millisecond)
+	a.Disconnected(n.now, id, written) // the IAM was queued and never written whole
+	n.carry("a")
+	found := false
+	for _, e := range n.effects["a"] {
+		if l, ok := e.(Log); ok && l.Text == "attempt over" {
+			for _, attr := range l.Attrs {
+				found = found || attr.Key == "status" && attr.Value.String() == string(logic.NoConnect)
+			}
+		}
+	}
+	if g := a.Groups()[id]; !found || g.Spare != 2 {
+		t.Errorf("NoConnect told: %v; group %+v", found, g)
+	}
+}
+
+func TestListSaysDraining(t *testing.T) {
+	n := newNet(t, 3, 4)
+	n.ends["b/lines"].on = nil
+	n.call("a", 1, "5521", 1) // out while the list changes
+	n.run(n.now + 50*time.Millisecond)
+	told := n.now
+	n.routers["a"].List(n.now, logic.ListUpdate, []logic.Office{{ID: "b", State: logic.Draining}})
+	n.carry("a")
+	for i := range 5 {
+		n.call("a", uint16(2+i), "5522", 1)
+	}
+	n.run(told + 4*time.Second)
+	for _, s := range n.iams {
+		if s.from == "a" && s.to == "b" && s.at > told {
+			t.Errorf("set-up toward b %v after it drains", s.at-told)
+		}
+	}
+	for i := range 6 {
+		if got := n.heard("a", uint16(1+i)); len(got) == 0 {
+			t.Errorf("call %d has no answer", i+1)
+		}
+	}
+}
+
+func TestNeighbourTellsThatItDrains(t *testing.T) {
+	n := newNet(t, 2, 4)
+	n.routers["b"].Drain(n.now)
+	n.carry("b")
+	n.run(n.now + 100*time.Millisecond)
+	if v := n.routers["a"].Exchanges()[1]; v.State != logic.Draining {
+		t.Errorf("a sees %+v", v)
+	}
+	n.call("b", 1, "5511", 1)
+	n.run(n.now + 100*time.Millisecond)
+	if c := n.cause("b", 1); c != isup.CauseCongestion {
+		t.Errorf("a new call at b: cause %d", c)
+	}
+	n.routers["b"].Undrain(n.now)
+	n.carry("b")
+	n.run(n.now + 100*time.Millisecond)
+	if v := n.routers["a"].Exchanges()[1]; v.State != logic.Ready {
+		t.Errorf("afterwards a sees %+v", v)
+	}
+}
+
+// An exchange restarts under a standing call: its reset cuts the call at the other end.
+func TestRestartUnderAStandingCall(t *testing.T) {
+	n := newNet(t, 2, 4)
+	n.call("a", 1, "5521", 1)
+	n.run(n.now + time.Second)
+	n.addRouter(testConfig(1, 2, 4))
+	a := n.routers["a"]
+	id, _ := a.Peer("b")
+	a.Disconnected(n.now, id, -1)
+	a.Connected(n.now, id)
+	n.connect("b")
+	n.carry("a")
+	n.run(n.now + 2*time.Second)
+	if got := n.heard("a", 1); !slices.Equal(got, []isup.Type{isup.ACM, isup.ANM, isup.REL}) {
+		t.Errorf("caller heard %v", got)
+	}
+	if err := n.idle(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestClientReturnsInTime(t *testing.T) {
+	n := newNet(t, 2, 4)
+	a := n.routers["a"]
+	id, _ := a.Peer("counters")
+	n.call("a", 1, "5521", 1)
+	n.run(n.now + 8*time.Millisecond) // the call is out
+	s := n.ends["a/counters"]
+	n.cut[link("a", "counters")] = true
+	a.Disconnected(n.now, id, -1)
+	s.assoc.Lost()
+	n.run(n.now + 500*time.Millisecond)
+	n.cut[link("a", "counters")] = false
+	a.Connected(n.now, id)
+	s.assoc.Connected(n.now)
+	n.carry("a")
+	n.settle("a", "counters")
+	n.run(n.now + 500*time.Millisecond)
+	if got := n.heard("a", 1); !slices.Equal(got, []isup.Type{isup.ACM, isup.ANM}) {
+		t.Errorf("after its return the client heard %v", got)
+	}
+}
+
+func TestClientStaysAway(t *testing.T) {
+	n := newNet(t, 2, 4)
+	a := n.routers["a"]
+	id, _ := a.Peer("counters")
+	n.call("a", 1, "5521", 1)
+	n.run(n.now + time.Second)
+	n.cut[link("a", "counters")] = true
+	a.Disconnected(n.now, id, -1)
+	n.run(n.now + DefaultRecovery - time.Millisecond)
+	if calls, _ := a.Held(); calls != 1 {
+		t.Fatalf("%d calls within the recovery time", calls)
+	}
+	n.run(n.now + time.Second)
+	if calls, _ := a.Held(); calls != 0 || n.routers["b"].Groups()[0].Spare != 4 {
+		t.Errorf("after the recovery time: %d calls, %+v", calls, n.routers["b"].Groups()[0])
+	}
+}
+
+func TestReleaseAllAnswersEveryCall(t *testing.T) {
+	n := newNet(t, 2, 8)
+	n.ends["b/lines"].on = nil
+	for i := range 8 {
+		n.call("a", uint16(1+i), "5521", 1)
+	}
+	n.run(n.now + 100*time.Millisecond)
+	n.routers["a"].ReleaseAll(n.now)
+	n.carry("a")
+	n.run(n.now + 100*time.Millisecond)
+	for i := range 8 {
+		if got := n.heard("a", uint16(1+i)); !slices.Equal(got, []isup.Type{isup.REL}) {
+			t.Errorf("call %d heard %v", i+1, got)
+		}
+	}
+	if calls, _ := n.routers["a"].Held(); calls != 0 {
+		t.Errorf("%d calls held", calls)
+	}
+}
+
+// Two Routers in one process share nothing: what one does is the same whether another works beside it or not.
+func TestTwoRoutersShareNothing(t *testing.T) {
+	script := func(n *net) {
+		for i := range 20 {
+			n.call("a", uint16(1+i), "552"+string(rune('0'+i%10)), 1)
+			n.run(n.now + 37*time.Millisecond)
+		}
+		n.run(n.now + 4*time.Second)
+	}
+	alone := newNet(t, 3, 4)
+	script(alone)
+	beside, other := newNet(t, 3, 4), newNet(t, 3, 2)
+	for i := range 20 {
+		other.call("a", uint16(1+i), "5531", 1)
+		beside.call("a", uint16(1+i), "552"+string(rune('0'+i%10)), 1)
+		beside.run(beside.now + 37*time.Millisecond)
+		other.run(other.now + 11*time.Millisecond)
+	}
+	beside.run(beside.now + 4*time.Second)
+	if a, b := alone.decisions("a"), beside.decisions("a"); len(a) < 40 || !reflect.DeepEqual(a, b) {
+		t.Errorf("%d and %d lines differ", len(a), len(b))
+	}
+}
+
+func TestUnreadableInput(t *testing.T) {
+	n := newNet(t, 2, 4)
+	a := n.routers["a"]
+	id, _ := a.Peer("counters")
+	var frames [][]byte
+	for _, b := range [][]byte{{}, {1}, {1, 0, 99}, {1, 0, 1, 0}} {
+		s := n.ends["a/counters"]
+		s.assoc.Output()
+		frames = append(frames, dataFrame(s, b))
+	}
+	for _, f := range frames {
+		a.Receive(n.now, id, f)
+	}
+	n.carry("a")
+	n.call("a", 1, "5521", 1)
+	n.run(n.now + time.Second)
+	if got := n.heard("a", 1); !slices.Contains(got, isup.ANM) {
+		t.Errorf("after unreadable messages a call heard %v", got)
+	}
+}
+
+func TestConfigFaults(t *testing.T) {
+	for want, change := range map[string]func(*Config){
+		"not among":      func(c *Config) { c.Name = "z" },
+		"no classes":     func(c *Config) { c.Classes = nil },
+		"stands twice":   func(c *Config) { c.Exchanges[1].Number = 1 },
+		"point code":     func(c *Config) { c.Exchanges[1].PointCode = 101 },
+		"same category":  func(c *Config) { c.Classes[1].Category = 10 },
+		"patience":       func(c *Config) { c.Classes[0].Patience = time.Minute },
+		"transmission":   func(c *Config) { c.Classes[1].Width = 31 },
+		"release":        func(c *Config) { c.Release = 0 },
+		"no other":       func(c *Config) { c.Peers[0].PointCode = 999 },
+		"peer \"lines\"": func(c *Config) { c.Peers[1].Name = "lines" },
+		"has the point":  func(c *Config) { c.Peers[1].PointCode = 102 },
+		"slot 0":         func(c *Config) { c.Peers[0].Circuits = []uint16{64} },
+		"not 1 to 15":    func(c *Config) { c.Numbering[0].Prefix = "x" },
+		"negative value": func(c *Config) { c.Classes[0].Hold = -1 },
+		"MaxAttempts":    func(c *Config) { c.Attempts = -1 },
+	} {
+		c := testConfig(0, 2, 4)
+		change(&c)
+		if _, err := New(c, 1); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		} else if errors.Unwrap(err) == nil && strings.Contains(want, "MaxAttempts") {
+			t.Errorf("%s: cause is not kept", want)
+		}
+	}
+}
