--- /dev/null
+++ b/internal/standin/fleet_test.go
@@ -0,0 +1,218 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"finchlatch/config"
+	"finchlatch/internal/rulecheck"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// quickClasses are the default ones with times that fit a test.
+func quickClasses() []ClassMix {
+	classes := DefaultClasses()
+	for i := range classes {
+		c := &classes[i]
+		c.Aim, c.Patience, c.Deadline, c.Hold = 600*time.Millisecond, 1500*time.Millisecond, 3*time.Second, time.Second
+	}
+	return classes
+}
+
+func quickFleet(t *testing.T, seed uint64, change func(*FleetSettings)) *Fleet {
+	t.Helper()
+	set := FleetSettings{Exchanges: 4, Regions: 2, Rate: 40, Seed: seed, Classes: quickClasses(),
+		Habits: Habits{Redials: 2, Pause: 300 * time.Millisecond, HotPause: 100 * time.Millisecond,
+			CutReturn: 500 * time.Millisecond, Overstay: 400 * time.Millisecond}}
+	if change != nil {
+		change(&set)
+	}
+	f, err := NewFleet(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// judged plays a script and fails the test on a broken rule, with what passed on the circuits of the first call.
+func judged(t *testing.T, f *Fleet, s Script) Report {
+	t.Helper()
+	if err := s.Check(t.Name()); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	f.Play(s, nil)
+	r := f.Report(time.Since(began))
+	if len(r.Verdict.Breaches) > 0 {
+		trace := rulecheck.Trace(f.Rec.Records(), r.Verdict.Breaches[0].Call)
+		t.Errorf("%d breaches, the first:\n%v\n%s", len(r.Verdict.Breaches), r.Verdict.Breaches[0], strings.Join(trace, "\n"))
+	}
+	if r.Verdict.Unread > 0 {
+		t.Errorf("%d messages at the taps cannot be read", r.Verdict.Unread)
+	}
+	return r
+}
+
+func seconds(x float64) config.Span { return config.Span(x * float64(time.Second)) }
+
+func steps(length float64, s ...Step) Script { return Script{Len: seconds(length), Steps: s} }
+
+// TestEveryTroubleAlone plays each kind of trouble by itself, and three combinations, on sockets.
+func TestEveryTroubleAlone(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays for half a minute")
+	}
+	base := map[string]Step{
+		"jump": {Size: 1.6}, "flood": {Part: 0.25, Size: 4}, "hot_number": {Part: 0.4, Size: 2}, "region_loss": {Part: 0.5},
+		"mass_cut": {Part: 0.5}, "silence": {Part: 0.25}, "hang": {Part: 0.25}, "replace": {Part: 0.25}, "unit": {},
+		"restart": {Part: 0.5}, "stall": {Part: 0.5, Size: 0.4}, "slow": {Size: 2.5}, "ageing": {Part: 0.25, Size: 8},
+		"late_list": {Size: 1}, "flap": {Part: 0.5}, "give_up": {Size: 0.3}, "client_flap": {Part: 0.5},
+	}
+	plays := map[string][]Step{}
+	for kind := range kinds {
+		s, ok := base[kind]
+		if !ok {
+			t.Errorf("kind %s is not played", kind)
+		}
+		s.Kind, s.At, s.Len = kind, seconds(1), seconds(1.5)
+		plays[kind] = []Step{s}
+	}
+	join := func(names ...string) {
+		var all []Step
+		for _, n := range names {
+			all = append(all, plays[n]...)
+		}
+		plays[strings.Join(names, "+")] = all
+	}
+	join("jump", "region_loss", "late_list")
+	join("mass_cut", "silence", "give_up")
+	join("unit", "hot_number", "flap")
+	slots := make(chan struct{}, 5)
+	for name, s := range plays {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			r := judged(t, quickFleet(t, uint64(len(name)), nil), steps(4, s...))
+			if r.Verdict.Calls < 100 || r.Classes[0].InTime == 0 {
+				t.Errorf("hardly a call: %+v", r.Verdict)
+			}
+		})
+	}
+}
+
+// TestBadDay is the short form of the bad day, at three seeds.
+func TestBadDay(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays for a quarter of a minute")
+	}
+	day := steps(9, Step{At: seconds(1), Kind: "jump", Len: seconds(1), Size: 1.5},
+		Step{At: seconds(1.5), Kind: "hot_number", Len: seconds(2), Part: 0.3, Size: 2},
+		Step{At: seconds(2.5), Kind: "region_loss", Len: seconds(1.5), Part: 0.45},
+		Step{At: seconds(3), Kind: "late_list", Len: seconds(4), Size: 0.5},
+		Step{At: seconds(3.5), Kind: "mass_cut", Part: 0.4},
+		Step{At: seconds(4), Kind: "silence", Len: seconds(2), Part: 0.17},
+		Step{At: seconds(5), Kind: "unit"},
+		Step{At: seconds(6), Kind: "stall", Len: seconds(1.5), Part: 0.34, Size: 0.3},
+		Step{At: seconds(6.5), Kind: "flap", Part: 0.2},
+		Step{At: seconds(7), Kind: "replace", Len: seconds(1.5), Part: 0.17})
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed %d", seed+1), func(t *testing.T) {
+			t.Parallel()
+			f := quickFleet(t, seed+1, func(s *FleetSettings) { s.Exchanges, s.Rate = 6, 60 })
+			r := judged(t, f, day)
+			if r.Verdict.Cold < 3 || r.Verdict.Calls < 500 {
+				t.Errorf("the day was not played: %+v", r.Verdict)
+			}
+		})
+	}
+}
+
+// TestPlantedBreachOnSockets: call servers that are told to wait only 1 ms after a failed attempt break rule 5, and
+// the taps show it.
+func TestPlantedBreachOnSockets(t *testing.T) {
+	t.Parallel()
+	f := quickFleet(t, 5, func(s *FleetSettings) { s.Release = time.Millisecond })
+	f.Play(steps(3, Step{At: seconds(0.5), Kind: "mass_cut", Part: 1}, Step{At: seconds(1), Kind: "flap", Part: 1},
+		Step{At: seconds(1.5), Kind: "flap", Part: 1}, Step{At: seconds(2), Kind: "flap", Part: 1}), nil)
+	v := f.Verdict()
+	if got := v.Breaches; len(got) == 0 {
+		t.Fatalf("no breach found: %+v", v)
+	}
+	for _, b := range v.Breaches {
+		if b.Rule != 5 {
+			t.Errorf("%v", b)
+		}
+	}
+}
+
+// TestTermInABurst drains a call server while calls come fast: every call it has taken gets its answer.
+func TestTermInABurst(t *testing.T) {
+	t.Parallel()
+	f := quickFleet(t, 6, func(s *FleetSettings) { s.Rate = 80 })
+	f.Go()
+	time.Sleep(time.Second)
+	f.List.Change(f.Nodes[1].Name, rulecheck.Draining, false, false)
+	f.Nodes[1].Leave(4 * time.Second)
+	f.Quiet(3 * time.Second)
+	if v := f.Verdict(); len(v.Breaches) > 0 || v.Calls < 50 {
+		t.Errorf("%+v", v)
+	}
+	owed := map[string]int{}
+	for _, r := range f.Rec.Records() {
+		if r.Kind == rulecheck.Killed {
+			owed[r.Exchange]++
+		}
+	}
+	if owed[f.Nodes[1].Name] != 1 {
+		t.Errorf("ended %v", owed)
+	}
+}
+
+func TestScriptFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		`{len:'0s'}`:                       "len: must be positive",
+		`{len:'9s',steps:[{kind:'rain'}]}`: `steps[0].kind: "rain"`,
+		`{len:'9s',steps:[{kind:'jump',len:'1s',size:99}]}`: "steps[0].size: 99",
+		`{len:'9s',steps:[{kind:'flap',part:2}]}`:           "steps[0].part: 2",
+		`{len:'9s',steps:[{kind:'jump',size:2}]}`:           "no len",
+		`{len:'9s',steps:[{kind:'flap',at:'10s'}]}`:         "after the end",
+		`{len:'9s',step:[]}`:                                "unknown field",
+		`{len:`:                                             "day.jsonnet",
+		`{len:'9s',steps:[{at:'x',kind:'flap'}]}`:           "no time span",
+	} {
+		if _, err := ParseScript("day.jsonnet", text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", text, err, want)
+		}
+	}
+	if _, err := BadDay(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestQuietDay: without troubles callers get through.
+func TestQuietDay(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	notes := 0
+	f := quickFleet(t, 7, nil)
+	f.Play(steps(2), func(string) { mu.Lock(); notes++; mu.Unlock() })
+	r := f.Report(2 * time.Second)
+	stood := 0
+	for _, c := range r.Classes {
+		stood += c.InTime + c.Late
+		if c.Callers > 0 && c.Without > c.Callers/10 {
+			t.Errorf("%s: %d of %d callers never got through", c.Name, c.Without, c.Callers)
+		}
+	}
+	if len(r.Verdict.Breaches) > 0 || stood < 40 || r.Service() < 0.8 || notes != 0 {
+		t.Errorf("service %.3f, %d stood, %v", r.Service(), stood, r.Verdict.Breaches)
+	}
+}
--- a/internal/standin/processor.go
+++ b/internal/standin/processor.go
@@ -56,9 +56,9 @@
 // Letter is a message for an exchange. Refuse is called in place of Deliver where the processor turns a set-up
 // away.
 type Letter struct {
-	From    any    // the connection and direction that it came by
-	CIC     uint16 // its circuit
-	Group   bool   // it is about many circuits
+	From    any      // the connection and direction that it came by
+	CICs    []uint16 // the circuits of its call
+	Group   bool     // it is about many circuits
 	Setup   bool
 	Answer  bool // it is an answer or a release
 	Peer    bool // it comes from another call server
@@ -90,7 +90,6 @@
 		return
 	}
 	j := job{Letter: l, came: now, work: p.Work.Other}
-	at := place{l.From, l.CIC}
 	switch {
 	case l.Setup:
 		j.work = p.Work.Setup
@@ -100,8 +99,10 @@
 	case l.Answer:
 		j.work = p.Work.Answer
 	}
-	if l.Setup || p.behind[at] > 0 || l.Group && p.waiting[l.From] > 0 {
-		p.behind[at]++
+	if l.Setup || p.held(l) {
+		for _, cic := range l.CICs {
+			p.behind[place{l.From, cic}]++
+		}
 		p.waiting[l.From]++
 		p.low = append(p.low, j)
 	} else {
@@ -110,13 +111,28 @@
 	p.wake.Signal()
 }
 
+// held tells whether something of the same circuits still waits.
+func (p *Processor) held(l Letter) bool {
+	if l.Group {
+		return p.waiting[l.From] > 0
+	}
+	for _, cic := range l.CICs {
+		if p.behind[place{l.From, cic}] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // nextLow takes the first of those that wait longest.
 func (p *Processor) nextLow() job {
 	j := p.low[0]
 	p.low = p.low[1:]
-	at := place{j.From, j.CIC}
-	if p.behind[at]--; p.behind[at] == 0 {
-		delete(p.behind, at)
+	for _, cic := range j.CICs {
+		at := place{j.From, cic}
+		if p.behind[at]--; p.behind[at] == 0 {
+			delete(p.behind, at)
+		}
 	}
 	if p.waiting[j.From]--; p.waiting[j.From] == 0 {
 		delete(p.waiting, j.From)
--- a/internal/standin/wire.go
+++ b/internal/standin/wire.go
@@ -103,7 +103,8 @@
 // carry works on one pair of connections.
 func (w *Wire) carry(near, far net.Conn) {
 	defer w.wg.Done()
-	s := &session{wire: w, refused: map[uint16]*refusal{}, seized: [2]map[uint16][]uint16{{}, {}}}
+	s := &session{wire: w, refused: map[uint16]*refusal{}, seized: [2]map[uint16][]uint16{{}, {}},
+		last: [2]map[uint16][]uint16{{}, {}}}
 	s.out = [2]*pipe{newPipe(far), newPipe(near)}
 	var ends sync.WaitGroup
 	for d, conn := range []net.Conn{near, far} {
@@ -140,6 +141,7 @@
 	mu      sync.Mutex
 	refused map[uint16]*refusal    // set-ups that a processor has refused, by circuit, until their RLC
 	seized  [2]map[uint16][]uint16 // set-ups that the end of a direction has sent, until their RLC reaches it
+	last    [2]map[uint16][]uint16 // circuits of the last set-up on a circuit, by direction
 }
 
 // refusal keeps the far side's messages on its circuits back while the end that was refused clears them.
@@ -228,7 +230,7 @@
 	from, _ := s.ends(d)
 	l := Letter{From: queueKey{s, d}, Peer: from.tapped, Deliver: func() { s.deliver(d, frame) }}
 	if ok { // management of the association costs little, but a silent processor does not answer it either
-		l.CIC, l.Setup = m.CIC, m.Type == isup.IAM
+		l.CICs, l.Setup = s.callOn(m.CIC), m.Type == isup.IAM
 		l.Answer = m.Type == isup.ANM || m.Type == isup.CON || m.Type == isup.REL
 		l.Group = m.Type == isup.GRS || m.Type == isup.GRA || m.Type == isup.CGB || m.Type == isup.CGU
 		l.Refuse = func() { s.refuse(d, m, p, frame) }
@@ -270,6 +272,7 @@
 	case isup.IAM:
 		if d == end {
 			s.seized[end][m.CIC] = circuitsOf(m)
+			s.last[end][m.CIC] = s.seized[end][m.CIC]
 		}
 	case isup.RLC:
 		delete(s.seized[end], m.CIC)
@@ -278,6 +281,23 @@
 	}
 }
 
+// callOn gives the circuits of the calls that were last signalled on a circuit: a wide call's messages name only
+// the first.
+func (s *session) callOn(cic uint16) []uint16 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []uint16{cic}
+	for _, l := range s.last {
+		for _, c := range l[cic] {
+			if c != cic {
+				out = append(out, c)
+			}
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // crossed tells whether the end that an IAM comes to has itself seized one of its circuits: then that call server
 // must see it, since the dual seizure is its to judge.
 func (s *session) crossed(d direction, m *isup.Message) bool {
