--- a/m3ua/assoc.go
+++ b/m3ua/assoc.go
@@ -80,7 +80,8 @@
 	framer   Framer
 	out      []byte
 	ind      []Indication
-	asked    Kind // request that waits for its acknowledgement; 0 none
+	given    []Indication // handed out by the last call of Indications
+	asked    Kind         // request that waits for its acknowledgement; 0 none
 	askAgain time.Duration
 	beatAt   time.Duration
 	missed   int
@@ -117,11 +118,11 @@
 	return b
 }
 
-// Indications gives what has happened since the last call.
+// Indications gives what has happened since the last call. The slice is good until the next call.
 func (a *Assoc) Indications() []Indication {
-	i := a.ind
-	a.ind = nil
-	return i
+	clear(a.given)
+	a.ind, a.given = a.given[:0], a.ind
+	return a.given
 }
 
 // Connected takes the news of a new transport connection. What came over an older one is forgotten.
@@ -184,6 +185,9 @@
 		return ErrNotActive
 	}
 	p.HasContext, p.RoutingContext = a.set.HasContext, a.set.RoutingContext
+	if a.out == nil {
+		a.out = make([]byte, 0, dataOverhead+len(p.Data))
+	}
 	a.out = p.Append(a.out)
 	return nil
 }
@@ -269,6 +273,10 @@
 			return
 		}
 		a.heard, a.missed = now, 0
+		if p, ok := plainData(raw); ok && a.state == Active && a.ours(p) {
+			a.ind = append(a.ind, Indication{Kind: IndData, Data: p})
+			continue
+		}
 		m, err := Decode(raw)
 		if err != nil {
 			a.fault(err, raw)
@@ -407,6 +415,11 @@
 	return ack
 }
 
+// ours tells whether a DATA is for our routing context, or names none.
+func (a *Assoc) ours(p ProtocolData) bool {
+	return !a.set.HasContext || !p.HasContext || p.RoutingContext == a.set.RoutingContext
+}
+
 func (a *Assoc) takeData(m *Message) error {
 	if a.state != Active {
 		return &Fault{ErrUnexpected, fmt.Sprintf("DATA in %v", a.state)}
@@ -415,7 +428,7 @@
 	if err != nil {
 		return err
 	}
-	if a.set.HasContext && p.HasContext && p.RoutingContext != a.set.RoutingContext {
+	if !a.ours(p) {
 		return &Fault{ErrRoutingContext, fmt.Sprintf("DATA for routing context %d, ours is %d",
 			p.RoutingContext, a.set.RoutingContext)}
 	}
--- a/m3ua/codec.go
+++ b/m3ua/codec.go
@@ -221,6 +221,34 @@
 	HasContext     bool
 }
 
+// dataOverhead is what DATA adds to its payload at most: the header, three parameters and padding.
+const dataOverhead = 8 + 8 + 8 + 16 + 4
+
+// plainData reads the usual DATA, protocol data alone or behind a routing context, without an allocation. Others
+// and bad ones are left to Decode.
+func plainData(b []byte) (p ProtocolData, ok bool) {
+	if len(b) < headerSize+4+protocolDataMinimum || b[0] != 1 || Kind(b[2])<<8|Kind(b[3]) != DATA ||
+		binary.BigEndian.Uint32(b[4:]) != uint32(len(b)) {
+		return p, false
+	}
+	b = b[headerSize:]
+	if Tag(binary.BigEndian.Uint16(b)) == TagRoutingContext && binary.BigEndian.Uint16(b[2:]) == 8 {
+		p.RoutingContext, p.HasContext = binary.BigEndian.Uint32(b[4:]), true
+		b = b[8:]
+	}
+	if len(b) < 4+protocolDataMinimum || Tag(binary.BigEndian.Uint16(b)) != TagProtocolData {
+		return p, false
+	}
+	n := int(binary.BigEndian.Uint16(b[2:]))
+	if n < 4+protocolDataMinimum || n > len(b) || (n+3)&^3 != len(b) {
+		return p, false
+	}
+	v := b[4:n:n]
+	p.OPC, p.DPC = binary.BigEndian.Uint32(v), binary.BigEndian.Uint32(v[4:])
+	p.SI, p.NI, p.MP, p.SLS, p.Data = v[8], v[9], v[10], v[11], v[12:]
+	return p, true
+}
+
 // Append writes a whole DATA behind dst, as Message would.
 func (p *ProtocolData) Append(dst []byte) []byte {
 	start := len(dst)
--- a/m3ua/m3ua_test.go
+++ b/m3ua/m3ua_test.go
@@ -275,6 +275,7 @@
 func FuzzAssoc(f *testing.F) {
 	f.Add(data.Message().Append((&Message{Kind: ASPAC}).Append((&Message{Kind: ASPUP}).Append(nil))))
 	f.Add([]byte{1, 0, 3, 1, 0x80, 0, 0, 0})
+	f.Add(data.Message().Append(nil))
 	f.Add((&Message{Kind: DUNA}).WithUint32(TagAffected, 5).Append((&Message{Kind: ASPUP}).Append(nil)))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		for _, role := range []Role{RoleASP, RoleSGP, RoleIPSPClient, RoleIPSPServer} {
@@ -303,6 +304,17 @@
 				}
 			}
 		}
+		if p, ok := plainData(b); ok { // the short way must see what the long one sees
+			m, err := Decode(b)
+			if err != nil {
+				t.Fatalf("%x: plain, and %v", b, err)
+			}
+			q, err := ReadProtocolData(m)
+			if err != nil || p.OPC != q.OPC || p.DPC != q.DPC || p.HasContext != q.HasContext || p.RoutingContext != q.RoutingContext ||
+				p.SLS != q.SLS || !bytes.Equal(p.Data, q.Data) {
+				t.Fatalf("%+v and %+v, %v", p, q, err)
+			}
+		}
 		_, _ = Identify(b)
 	})
 }
--- a/router/call.go
+++ b/router/call.go
@@ -69,6 +69,9 @@
 	for _, p := range m.Params {
 		n += len(p.Value)
 	}
+	if len(m.Params) == 0 {
+		return &isup.Message{CIC: m.CIC, Type: m.Type}
+	}
 	buf, out := make([]byte, 0, n), &isup.Message{CIC: m.CIC, Type: m.Type, Params: make([]isup.Param, len(m.Params))}
 	for i, p := range m.Params {
 		at := len(buf)
@@ -189,8 +192,9 @@
 	c.answered = true
 	answer := keep(m)
 	if !c.acm && m.Type == isup.ANM { // an answer without address complete is a connect (Q.764 2.1.7)
+		params := answer.Params
 		answer = isup.Simple(isup.CON, 0)
-		answer.Params = append(answer.Params, keep(m).Params...)
+		answer.Params = append(answer.Params, params...)
 	} else if c.acm && m.Type == isup.CON {
 		answer = isup.Simple(isup.ANM, 0)
 	}
--- a/router/peer.go
+++ b/router/peer.go
@@ -49,14 +49,12 @@
 // settle passes on what the state machines of a peer have to say, until they fall silent.
 func (r *Router) settle(p *peer) {
 	for busy := true; busy; {
-		ind, ev := p.assoc.Indications(), p.group.Events()
-		busy = len(ind)+len(ev) > 0
+		busy = r.signals(p)
+		ind := p.assoc.Indications()
 		for _, i := range ind {
 			r.indicated(p, i)
 		}
-		for _, e := range ev {
-			r.signalled(p, e)
-		}
+		busy = busy || len(ind) > 0
 		r.flush(p)
 	}
 	r.reportGroup(p)
@@ -168,9 +166,17 @@
 		return
 	}
 	p.group.Receive(r.now, m)
-	for _, e := range p.group.Events() {
+	r.signals(p) // before the next message: it may be about the same call
+}
+
+// signals passes on the events of a group; false: there was none. Handlers take no events of it themselves, so
+// the slice stays good.
+func (r *Router) signals(p *peer) bool {
+	ev := p.group.Events()
+	for _, e := range ev {
 		r.signalled(p, e)
 	}
+	return len(ev) > 0
 }
 
 // compatibility applies Q.764 2.9.5.2 to a message of an unknown type; true: it goes no further.
--- a/server/relay_test.go
+++ b/server/relay_test.go
@@ -206,11 +206,11 @@
 	}
 }
 
-// BenchmarkThroughput is whole calls one after the other with 64 at once.
+// BenchmarkThroughput is whole calls, as many at once as there are circuits.
 func BenchmarkThroughput(b *testing.B) {
 	paths(b, func(b *testing.B, e *endpoint) {
 		b.ResetTimer()
-		e.calls(b, b.N, 64, 0)
+		e.calls(b, b.N, benchCircuits, 0)
 		b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
 	})
 }
--- a/trunk/group.go
+++ b/trunk/group.go
@@ -122,7 +122,9 @@
 	index    map[uint16]int
 	pending  []*procedure
 	out      []*isup.Message
+	outGiven []*isup.Message // handed out by the last call of Output
 	events   []Event
+	evGiven  []Event // and by that of Events
 	spare    int
 	total    int
 }
@@ -179,18 +181,18 @@
 	return by, blocked
 }
 
-// Output gives the messages to send, in order, and forgets them.
+// Output gives the messages to send, in order, and forgets them. The slice is good until the next call.
 func (g *Group) Output() []*isup.Message {
-	out := g.out
-	g.out = nil
-	return out
+	clear(g.outGiven)
+	g.out, g.outGiven = g.outGiven[:0], g.out
+	return g.outGiven
 }
 
-// Events gives what has happened, in order, and forgets it.
+// Events gives what has happened, in order, and forgets it. The slice is good until the next call.
 func (g *Group) Events() []Event {
-	ev := g.events
-	g.events = nil
-	return ev
+	clear(g.evGiven)
+	g.events, g.evGiven = g.evGiven[:0], g.events
+	return g.evGiven
 }
 
 func (g *Group) send(m *isup.Message) { g.out = append(g.out, m) }
