--- a/numbering/table.go
+++ b/numbering/table.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 )
 
@@ -83,12 +82,3 @@
 	}
 	return -1
 }
-
-// List gives the categories in order.
-func (c Categories) List() (out []byte) {
-	for k := range c {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
--- a/router/peer.go
+++ b/router/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"finchlatch/isup"
@@ -195,6 +196,13 @@
 
 // network takes a network management message: a neighbour tells of itself.
 func (r *Router) network(p *peer, m *m3ua.Message) {
+	if m.Kind == m3ua.DAUD { // an audit of the own point code is answered; others are not known here
+		answer := map[bool]m3ua.Kind{true: m3ua.DRST, false: m3ua.DAVA}[r.draining]
+		if slices.Contains(m3ua.AffectedPointCodes(m), r.home.PointCode) {
+			_ = p.assoc.Network(answer, r.home.PointCode, 0)
+		}
+		return
+	}
 	for _, code := range m3ua.AffectedPointCodes(m) {
 		q := r.byCode[code]
 		if q == nil || q != p || q.cfg.Kind != PeerExchange {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -403,3 +403,40 @@
 		}
 	}
 }
+
+// A set-up that loses a dual seizure is repeated on another circuit, but not toward an exchange that drains by then
+// (rule 3).
+func TestRepeatOnlyTowardAReadyExchange(t *testing.T) {
+	for _, drains := range []bool{false, true} {
+		n := newNet(t, 2, 4)
+		a := n.routers["a"]
+		id, _ := a.Peer("b")
+		a.Block(n.now, id, 1, isup.Maintenance, true) // circuit 4
+		n.carry("a")
+		n.call("a", 1, "5521", 1) // circuit 1
+		n.run(n.now + time.Second)
+		n.delay = 100 * time.Millisecond
+		n.call("b", 1, "5511", 2) // circuits 2 and 3: wide, it wins whatever a has sent
+		n.call("a", 2, "5522", 1) // circuit 2
+		n.run(n.now + 50*time.Millisecond)
+		a.Block(n.now, id, 1, isup.Maintenance, false)
+		if drains {
+			a.List(n.now, logic.ListUpdate, []logic.Office{{ID: "b", State: logic.Draining}})
+		}
+		n.carry("a")
+		told, repeats := n.now, 0
+		n.run(n.now + 4*time.Second)
+		for _, s := range n.iams {
+			if s.from == "a" && s.at > told {
+				repeats++
+			}
+		}
+		if want := map[bool]int{false: 1, true: 0}[drains]; repeats != want {
+			t.Errorf("draining %v: %d repeats, want %d", drains, repeats, want)
+		}
+		want := map[bool][]isup.Type{false: {isup.ACM, isup.ANM}, true: {isup.REL}}[drains]
+		if got := n.heard("a", 2); !slices.Equal(got, want) {
+			t.Errorf("draining %v: caller heard %v", drains, got)
+		}
+	}
+}
--- a/trunk/trunk_test.go
+++ b/trunk/trunk_test.go
@@ -342,3 +342,21 @@
 		}
 	}
 }
+
+// An IAM on a circuit whose own call has been answered backward is no dual seizure any more: the call goes on.
+func TestNoDualSeizureAfterABackwardMessage(t *testing.T) {
+	e := newEnds(t, 2) // even: the far end, with the higher code, controls it
+	e.seize(0, 1)
+	e.settle()
+	e.g[1].Send(e.open[1][0], isup.Simple(isup.ACM, 0))
+	e.settle()
+	iam, err := isup.NewSetup(2, isup.Setup{Called: isup.Number{Digits: "551", Nature: 3, Plan: 1}, Width: 1, Hops: -1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.g[0].Receive(e.now, iam)
+	e.collect()
+	if e.events(0, Lost) != 0 || e.events(0, Arrived) != 0 {
+		t.Errorf("%d lost, %d arrived", e.events(0, Lost), e.events(0, Arrived))
+	}
+}
