Application servers with several processes; answers owed across a lost connection

A counter client is more than one process on one connection (RFC 4666 4.3). m3ua has the AS state machine (override, loadshare, broadcast, n+k, AS-PENDING with T(r)) and routing key registration checked against the settings; a Router's peer is an AS with one link for each process. Answers written to a lost connection go out again on return unless a heartbeat behind them was answered; a repeated IAM is told from a new call by its numbers. Tests drop the client at each step of a set-up, back inside and outside T(r). The sockets' tests found an answer repeated seven times by a flapping link: it is held once now. The rule checker takes one repeat after a lost connection, and breaks on two.

--- a/config/config.go
+++ b/config/config.go
@@ -5,10 +5,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -67,6 +69,9 @@
 	PointCode      uint32   `json:"point_code"` // of an exchange: as in exchanges, and may be left out
 	Dial           string   `json:"dial"`       // address to connect to; empty: the peer connects to us
 	ASPID          uint32   `json:"asp_id"`     // that a connecting peer states; 0: its point code
+	ASPs           []uint32 `json:"asps"`       // the same of several processes of one client, in place of asp_id
+	Mode           string   `json:"mode"`       // how they share: override, loadshare or broadcast
+	Needed         int      `json:"needed"`     // of them active before traffic begins
 	RoutingContext *uint32  `json:"routing_context"`
 	Circuits       Circuits `json:"circuits"`
 	Heartbeat      Span     `json:"heartbeat"`
@@ -145,8 +150,8 @@
 	Listen       string
 	Console      string
 	Seed         int64
-	Dial         map[router.PeerID]string
-	Identity     map[uint32]router.PeerID // ASP identifiers of peers that connect to us
+	Dial         map[router.LinkID]string
+	Identity     map[uint32]router.LinkID // ASP identifiers of processes that connect to us
 	Drain        time.Duration
 	QueueBytes   int
 	MessageBytes int
@@ -245,8 +250,8 @@
 // Check turns the file into a configuration, or gives all its faults.
 func (f *File) Check(name string) (*Config, error) {
 	c := &checker{file: name}
-	out := &Config{Listen: f.Listen, Console: f.Console, Seed: f.Seed, Dial: map[router.PeerID]string{},
-		Identity: map[uint32]router.PeerID{}}
+	out := &Config{Listen: f.Listen, Console: f.Console, Seed: f.Seed, Dial: map[router.LinkID]string{},
+		Identity: map[uint32]router.LinkID{}}
 	c.must(f.Name != "", "name", "the own exchange is not named")
 	c.address("listen", f.Listen, false)
 	c.address("console", f.Console, false)
@@ -313,12 +318,15 @@
 var kinds = map[string]router.PeerKind{"exchange": router.PeerExchange, "client": router.PeerClient,
 	"subscribers": router.PeerSubscribers}
 
+var modes = map[string]m3ua.Mode{"": m3ua.Override, "override": m3ua.Override, "loadshare": m3ua.Loadshare,
+	"broadcast": m3ua.Broadcast}
+
 func (f *File) peers(c *checker, out *Config) {
 	codes := map[string]uint32{}
 	for _, e := range f.Exchanges {
 		codes[e.Name] = e.PointCode
 	}
-	accepts := false
+	accepts, link := false, router.LinkID(0)
 	for i, p := range f.Peers {
 		at := fmt.Sprintf("peers[%d]", i)
 		kind, ok := kinds[p.Kind]
@@ -331,27 +339,35 @@
 		c.must(p.Circuits.Count > 0 && len(circuits) == p.Circuits.Count && p.Circuits.First > 0, at+".circuits",
 			"%d circuits from %d on do not fit 1 to 4095", p.Circuits.Count, p.Circuits.First)
 		c.address(at+".dial", p.Dial, false)
-		id := router.PeerID(i)
+		mode, ok := modes[p.Mode]
+		c.must(ok, at+".mode", "%q is not override, loadshare or broadcast", p.Mode)
+		asps := p.ASPs
+		c.must(len(asps) == 0 || p.ASPID == 0 && p.Dial == "" && kind == router.PeerClient, at+".asps",
+			"only clients that connect to us have several processes, and asp_id names a single one")
+		c.must(p.Needed >= 0 && p.Needed <= max(1, len(asps)), at+".needed", "%d of %d processes", p.Needed, max(1, len(asps)))
 		set := m3ua.Settings{TAck: time.Duration(f.Timers.Ack), Beat: time.Duration(p.Heartbeat), ASPID: codes[f.Name]}
 		if p.RoutingContext != nil {
 			set.RoutingContext, set.HasContext = *p.RoutingContext, true
 		}
 		if p.Dial != "" {
 			set.Role = m3ua.RoleIPSPClient
-			out.Dial[id] = p.Dial
+			out.Dial[link] = p.Dial
+			asps = []uint32{0}
 		} else {
 			accepts = true
 			set.Role = map[bool]m3ua.Role{true: m3ua.RoleIPSPServer, false: m3ua.RoleSGP}[kind == router.PeerExchange]
-			asp := p.ASPID
-			if asp == 0 {
-				asp = p.PointCode
+			if len(asps) == 0 {
+				asps = []uint32{cmp.Or(p.ASPID, p.PointCode)}
+			}
+			for k, asp := range asps {
+				_, twice := out.Identity[asp]
+				c.must(!twice, at+".asp_id", "%d is another process's too", asp)
+				out.Identity[asp] = link + router.LinkID(k)
 			}
-			_, twice := out.Identity[asp]
-			c.must(!twice, at+".asp_id", "%d is another peer's too", asp)
-			out.Identity[asp] = id
 		}
+		link += router.LinkID(len(asps))
 		out.Router.Peers = append(out.Router.Peers, router.Peer{Name: p.Name, Kind: kind, PointCode: p.PointCode,
-			Circuits: circuits, Assoc: set})
+			Circuits: circuits, ASPs: slices.Repeat([]m3ua.Settings{set}, len(asps)), Mode: mode, Needed: p.Needed})
 	}
 	c.must(!accepts || f.Listen != "", "listen", "peers without dial connect to us, and there is no address for them")
 }
@@ -421,7 +437,9 @@
 	}
 	c.must(out.MessageBytes >= 64 && out.MessageBytes <= 65536, "limits.message_bytes", "%d is not 64 to 65536", out.MessageBytes)
 	c.must(out.QueueBytes >= out.MessageBytes, "limits.queue_bytes", "%d holds not even one message", out.QueueBytes)
-	for i := range out.Router.Peers {
-		out.Router.Peers[i].Assoc.MaxMessage = out.MessageBytes
+	for _, p := range out.Router.Peers {
+		for i := range p.ASPs {
+			p.ASPs[i].MaxMessage = out.MessageBytes
+		}
 	}
 }
--- a/internal/rulecheck/rulecheck.go
+++ b/internal/rulecheck/rulecheck.go
@@ -154,6 +154,7 @@
 	out      bool
 	heard    bool // a message has come back
 	answered bool
+	again    bool // its connection was lost: an answer that may not have been read goes out once more
 }
 
 // call is one call at one call server.
@@ -228,7 +229,7 @@
 		}
 	}
 	for _, g := range l.in {
-		g.call.excused = true
+		g.call.excused, g.again = true, true
 	}
 }
 
--- a/internal/rulecheck/rulecheck_test.go
+++ b/internal/rulecheck/rulecheck_test.go
@@ -101,6 +101,20 @@
 			p.records = p.records[:9]
 			p.simple(70, "a", "counters", true, isup.ANM, 1)
 		}},
+		{"the answer once more after a lost connection", 0, func(p *tape) {
+			good(p)
+			rest := p.records[9:]
+			p.records = append([]Record{}, p.records[:9]...)
+			p.records = append(p.records, Record{At: 65 * time.Millisecond, Kind: Lost, Exchange: "a", Peer: "counters"})
+			p.simple(70, "a", "counters", true, isup.ANM, 1)
+			p.records = append(p.records, rest...)
+		}},
+		{"and twice more", 1, func(p *tape) {
+			good(p)
+			p.records = append(p.records[:9], Record{At: 65 * time.Millisecond, Kind: Lost, Exchange: "a", Peer: "counters"})
+			p.simple(70, "a", "counters", true, isup.ANM, 1)
+			p.simple(75, "a", "counters", true, isup.ANM, 1)
+		}},
 		{"a set-up after the answer", 1, func(p *tape) {
 			p.iam(0, "a", "counters", false, 1, 1, 1)
 			p.rel(10, "a", "counters", true, 1, 34)
--- a/m3ua/assoc.go
+++ b/m3ua/assoc.go
@@ -42,6 +42,8 @@
 	Role           Role
 	RoutingContext uint32
 	HasContext     bool
+	Mode           Mode          // traffic mode that an ASP may ask for; 0: any
+	Key            uint32        // destination point code that an ASP may register
 	ASPID          uint32        // sent in ASPUP by an asking end, if not 0
 	TAck           time.Duration // T(ack), 2 s: a request is sent again after it
 	Beat           time.Duration // T(beat), 30 s; negative: no heartbeats of our own
@@ -87,6 +89,10 @@
 	missed   int
 	heard    time.Duration
 	leaving  bool
+
+	registered bool
+	written    int64 // octets of Output since Connected
+	confirmed  int64 // of them the peer has shown to have read, by answering a heartbeat behind them
 }
 
 // ErrNotActive is returned by Send while the peer takes no traffic.
@@ -115,9 +121,14 @@
 func (a *Assoc) Output() []byte {
 	b := a.out
 	a.out = nil
+	a.written += int64(len(b))
 	return b
 }
 
+// Confirmed is how many octets of Output since Connected the peer has read for certain: TCP keeps the order, so an
+// answered heartbeat confirms all that went before it.
+func (a *Assoc) Confirmed() int64 { return a.confirmed }
+
 // Indications gives what has happened since the last call. The slice is good until the next call.
 func (a *Assoc) Indications() []Indication {
 	clear(a.given)
@@ -131,6 +142,7 @@
 		a.Lost()
 	}
 	a.framer, a.out, a.asked, a.missed, a.leaving = Framer{Max: a.set.MaxMessage}, nil, 0, 0, false
+	a.written, a.confirmed, a.registered = 0, 0, false
 	a.heard, a.beatAt = now, now+a.set.Beat
 	a.become(Down)
 	if a.set.Role.asks() {
@@ -252,7 +264,7 @@
 	}
 	a.missed++
 	a.beatAt = now + a.set.Beat
-	a.write((&Message{Kind: BEAT}).With(TagHeartbeat, binary.BigEndian.AppendUint64(nil, uint64(now))))
+	a.write((&Message{Kind: BEAT}).With(TagHeartbeat, binary.BigEndian.AppendUint64(nil, uint64(a.written)+uint64(len(a.out)))))
 }
 
 // Receive takes bytes of the transport connection.
@@ -315,6 +327,8 @@
 			return &Fault{ErrUnexpected, fmt.Sprintf("%v in %v", m.Kind, a.state)}
 		}
 		a.ind = append(a.ind, Indication{Kind: IndNetwork, Message: m})
+	case ClassRKM:
+		return a.takeRKM(m)
 	case ClassMGMT:
 		a.ind = append(a.ind, Indication{Kind: IndPeer, Message: m})
 	}
@@ -329,15 +343,18 @@
 			ack.With(TagHeartbeat, bytes.Clone(v))
 		}
 		a.write(ack)
+	case BEATACK:
+		if v, ok := m.Get(TagHeartbeat); ok && len(v) == 8 {
+			if n := int64(binary.BigEndian.Uint64(v)); n > a.confirmed && n <= a.written {
+				a.confirmed = n
+			}
+		}
 	case ASPUP:
 		if a.set.Role.asks() && a.set.Role != RoleIPSPClient {
 			return &Fault{ErrUnexpected, "ASPUP from the gateway"}
 		}
 		a.write(&Message{Kind: ASPUPACK})
 		a.become(Inactive) // section 4.3.4.1: from ASP-ACTIVE it falls back, and the peer must activate again
-		if a.set.Role == RoleSGP {
-			a.notify(statusAS, asInactive)
-		}
 	case ASPDN:
 		a.write(&Message{Kind: ASPDNACK})
 		a.become(Down)
@@ -370,23 +387,17 @@
 	}
 	switch m.Kind {
 	case ASPAC:
-		if v, ok := m.Uint32(TagTrafficMode); ok && (v < 1 || v > 3) {
-			return &Fault{ErrTrafficMode, fmt.Sprintf("traffic mode %d", v)}
+		if v, ok := m.Uint32(TagTrafficMode); ok && (v < 1 || v > 3 || a.set.Mode != 0 && Mode(v) != a.set.Mode) {
+			return &Fault{ErrTrafficMode, fmt.Sprintf("%v, ours is %v", Mode(v), a.set.Mode)}
 		}
 		if a.leaving {
 			return &Fault{ErrBlocking, "going out of service"}
 		}
 		a.write(a.ackFor(ASPACACK, m))
 		a.become(Active)
-		if a.set.Role == RoleSGP {
-			a.notify(statusAS, asActive)
-		}
 	case ASPIA:
 		a.write(a.ackFor(ASPIAACK, m))
 		a.become(Inactive)
-		if a.set.Role == RoleSGP {
-			a.notify(statusAS, asInactive)
-		}
 	case ASPACACK:
 		if a.asked == ASPAC {
 			a.asked = 0
@@ -438,10 +449,13 @@
 
 // Status types and informations of NTFY (section 3.8.2).
 const (
-	statusAS   = 1
-	asInactive = 2
-	asActive   = 3
-	asPending  = 4
+	statusAS    = 1
+	statusOther = 2
+	asInactive  = 2
+	asActive    = 3
+	asPending   = 4
+	otherShort  = 1 // insufficient ASP resources active in the AS
+	otherTaken  = 2 // alternate ASP active
 )
 
 func (a *Assoc) notify(kind, info uint16) {
@@ -451,3 +465,26 @@
 	}
 	a.write(m)
 }
+
+// NotifyAS tells an ASP that is up of the state of its application server. Only a gateway does so.
+func (a *Assoc) NotifyAS(s ASState) {
+	info := map[ASState]uint16{ASInactive: asInactive, ASActive: asActive, ASPending: asPending}[s]
+	if a.set.Role == RoleSGP && info != 0 && (a.state == Inactive || a.state == Active) {
+		a.notify(statusAS, info)
+	}
+}
+
+// NotifyShort tells an ASP that is up that more of its kind are needed.
+func (a *Assoc) NotifyShort() {
+	if a.set.Role == RoleSGP && (a.state == Inactive || a.state == Active) {
+		a.notify(statusOther, otherShort)
+	}
+}
+
+// Overridden takes the traffic from an active ASP: another one of its application server has taken over.
+func (a *Assoc) Overridden() {
+	if a.state == Active {
+		a.notify(statusOther, otherTaken)
+		a.become(Inactive)
+	}
+}
--- a/m3ua/codec.go
+++ b/m3ua/codec.go
@@ -51,7 +51,8 @@
 var kindNames = map[Kind]string{ERR: "ERR", NTFY: "NTFY", DATA: "DATA", DUNA: "DUNA", DAVA: "DAVA", DAUD: "DAUD",
 	SCON: "SCON", DUPU: "DUPU", DRST: "DRST", ASPUP: "ASPUP", ASPDN: "ASPDN", BEAT: "BEAT",
 	ASPUPACK: "ASPUP-ACK", ASPDNACK: "ASPDN-ACK", BEATACK: "BEAT-ACK", ASPAC: "ASPAC", ASPIA: "ASPIA",
-	ASPACACK: "ASPAC-ACK", ASPIAACK: "ASPIA-ACK"}
+	ASPACACK: "ASPAC-ACK", ASPIAACK: "ASPIA-ACK", REGREQ: "REG-REQ", REGRSP: "REG-RSP", DEREGREQ: "DEREG-REQ",
+	DEREGRSP: "DEREG-RSP"}
 
 // Class gives the message class.
 func (k Kind) Class() Class { return Class(k >> 8) }
@@ -205,7 +206,7 @@
 		return nil
 	}
 	switch k.Class() {
-	case ClassMGMT, ClassTransfer, ClassSSNM, ClassASPSM, ClassASPTM:
+	case ClassMGMT, ClassTransfer, ClassSSNM, ClassASPSM, ClassASPTM, ClassRKM:
 		return &Fault{ErrType, k.String() + " is not known"}
 	}
 	return &Fault{ErrClass, k.String() + " is not supported"}
--- a/router/call.go
+++ b/router/call.go
@@ -26,8 +26,9 @@
 	sent     time.Duration // the latest attempt
 	deadline time.Duration // its time-out
 	repeats  int
-	acm      bool // ACM has gone to the caller
-	answered bool // it stands
+	acm      bool          // ACM has gone to the caller
+	answered bool          // it stands
+	answer   *isup.Message // that told the caller so
 	last     isup.ReleaseInfo
 }
 
@@ -36,7 +37,8 @@
 	call    *call
 	peer    *peer
 	seizure *trunk.Seizure
-	end     int64 // offset in the peer's connection behind its IAM
+	link    *link // that its latest message went out on
+	end     int64 // offset in that connection behind it
 }
 
 // signalled takes an event of a trunk group.
@@ -198,6 +200,7 @@
 	} else if c.acm && m.Type == isup.CON {
 		answer = isup.Simple(isup.ANM, 0)
 	}
+	c.answer = answer
 	r.pass(c.in, answer)
 	r.emit(Answer{At: r.now, Call: c.id, Verdict: Stands, Took: r.now - c.taken, Transit: c.transit || !c.managed})
 	if c.managed {
--- /dev/null
+++ b/router/clients_test.go
@@ -0,0 +1,138 @@
+package router
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"finchlatch/isup"
+	"finchlatch/m3ua"
+)
+
+// drop breaks the connection of the counters of a. Bytes on the way are lost.
+func (n *net) drop(written int64) {
+	id, _ := n.routers["a"].Link("counters", 0)
+	n.cut[between("a", "counters")] = true
+	n.routers["a"].Disconnected(n.now, id, written)
+	n.ends["a/counters"].assoc.Lost()
+	n.carry("a")
+}
+
+// back brings it up again.
+func (n *net) back() {
+	id, _ := n.routers["a"].Link("counters", 0)
+	n.cut[between("a", "counters")] = false
+	n.routers["a"].Connected(n.now, id)
+	n.ends["a/counters"].assoc.Connected(n.now)
+	n.carry("a")
+	n.settle("a", "counters")
+}
+
+// TestClientDropsAtEachStep drops the counters' connection at each step of a set-up and brings it back inside and
+// outside the recovery time. What the counters must have heard in the end is one answer, or none and a free circuit.
+func TestClientDropsAtEachStep(t *testing.T) {
+	const ring = 20 * time.Millisecond
+	type outcome struct{ inside, outside []isup.Type }
+	for _, c := range []struct {
+		name string
+		at   time.Duration // after the IAM was sent
+		half bool          // only half of it
+		rel  bool          // the far side releases in place of the answer, and the drop follows its REL
+		want outcome       // heard after the return, without what was heard before
+	}{
+		{"before the IAM is whole", 0, true, false, outcome{nil, nil}},
+		{"after the IAM", 3 * time.Millisecond, false, false, outcome{[]isup.Type{isup.ACM, isup.ANM}, nil}},
+		{"after ACM", 25 * time.Millisecond, false, false, outcome{[]isup.Type{isup.ANM}, nil}},
+		{"with ANM in flight", 14*time.Millisecond + ring, false, false, outcome{[]isup.Type{isup.ANM}, nil}},
+		{"after REL, before RLC", 14 * time.Millisecond, false, true, outcome{[]isup.Type{isup.REL}, nil}},
+	} {
+		for _, away := range []time.Duration{time.Second, DefaultRecovery + time.Second} {
+			n := newNet(t, 2, 4)
+			if c.rel {
+				n.ends["b/lines"].on = func(m *isup.Message) {
+					if m.Type == isup.IAM {
+						n.ends["b/lines"].send(isup.NewRelease(m.CIC, isup.ReleaseInfo{Cause: isup.CauseUserBusy}))
+					}
+				}
+			}
+			s := n.ends["a/counters"]
+			if c.half {
+				id, _ := n.routers["a"].Link("counters", 0)
+				m, _ := isup.NewSetup(1, isup.Setup{Called: isup.Number{Digits: "5521", Nature: 3, Plan: 1}, Category: 10, Width: 1, Hops: -1})
+				b, _ := m.Append(nil)
+				frame := dataFrame(s, b)
+				n.routers["a"].Receive(n.now, id, frame[:len(frame)/2])
+			} else {
+				n.call("a", 1, "5521", 1)
+			}
+			n.run(n.now + c.at)
+			n.drop(-1)
+			before := len(n.heard("a", 1))
+			n.run(n.now + away)
+			n.back()
+			n.run(n.now + 2*time.Second)
+			want := c.want.inside
+			if away > DefaultRecovery {
+				want = c.want.outside
+			}
+			got := n.heard("a", 1)[before:]
+			if away < DefaultRecovery && !slices.Equal(got, want) {
+				t.Errorf("%s, back in %v: heard %v, want %v", c.name, away, got, want)
+			}
+			if away > DefaultRecovery {
+				if slices.Contains(got, isup.ANM) {
+					t.Errorf("%s, back in %v: an answer after the recovery time: %v", c.name, away, got)
+				}
+				if err := n.idle(); err != nil {
+					t.Errorf("%s, back in %v: %v", c.name, away, err)
+				}
+			}
+			// What is left of the call can be ended, and the circuit used again.
+			s.send(isup.NewRelease(1, isup.ReleaseInfo{Cause: 16}))
+			n.run(n.now + 2*time.Second)
+			if err := n.idle(); err != nil {
+				t.Errorf("%s, back in %v, released: %v", c.name, away, err)
+			}
+		}
+	}
+}
+
+// An answer that a heartbeat has confirmed does not go out again; one that it has not does, once.
+func TestConfirmedAnswersAreNotRepeated(t *testing.T) {
+	n := newNet(t, 2, 4)
+	a := n.routers["a"]
+	id, _ := a.Link("counters", 0)
+	a.links[id].assoc = m3ua.NewAssoc(m3ua.Settings{Role: m3ua.RoleSGP, Beat: 300 * time.Millisecond})
+	n.drop(-1)
+	n.back()
+	n.run(n.now + time.Second)
+	n.call("a", 1, "5521", 1)
+	n.run(n.now + time.Second)
+	n.drop(-1)
+	n.run(n.now + 100*time.Millisecond)
+	n.back()
+	n.run(n.now + time.Second)
+	if got := n.heard("a", 1); !slices.Equal(got, []isup.Type{isup.ACM, isup.ANM}) {
+		t.Errorf("heard %v", got)
+	}
+}
+
+// A repeated IAM on a circuit is the same call; another one is a new call of a client that has lost its memory.
+func TestRepeatedSetUp(t *testing.T) {
+	n := newNet(t, 2, 4)
+	n.call("a", 1, "5521", 1)
+	n.run(n.now + time.Second)
+	n.call("a", 1, "5521", 1)
+	n.run(n.now + time.Second)
+	if got := n.heard("a", 1); !slices.Equal(got, []isup.Type{isup.ACM, isup.ANM}) || len(n.iams) != 1 {
+		t.Errorf("the same again: heard %v, %d set-ups", got, len(n.iams))
+	}
+	n.call("a", 1, "5522", 1)
+	n.run(n.now + time.Second)
+	if got := n.heard("a", 1); !slices.Equal(got, []isup.Type{isup.ACM, isup.ANM, isup.ACM, isup.ANM}) || len(n.iams) != 2 {
+		t.Errorf("another: heard %v, %d set-ups", got, len(n.iams))
+	}
+	if g := n.routers["b"].Groups()[0]; g.In != 1 {
+		t.Errorf("the old call still stands: %+v", g)
+	}
+}
--- a/router/config.go
+++ b/router/config.go
@@ -50,7 +50,9 @@
 	Kind      PeerKind
 	PointCode uint32
 	Circuits  []uint16
-	Assoc     m3ua.Settings
+	ASPs      []m3ua.Settings // its processes, one connection each; an exchange has one
+	Mode      m3ua.Mode       // how they share the traffic; 0: override
+	Needed    int             // of them active before traffic begins; 0: 1
 }
 
 // Config is what a Router is made of.
@@ -70,7 +72,8 @@
 	ColdFrom   float64
 	ColdFor    time.Duration
 	Timers     trunk.Timers
-	Recovery   time.Duration // a lost association keeps its calls for this long
+	Recovery   time.Duration // T(r): a peer without an active association keeps its calls for this long
+	Held       int           // messages kept for such a peer at most; 0: 4 for each circuit
 	Network    byte          // network indicator: 2 national
 	Hops       int           // hop counter of own calls; 0: 3
 	LogLevel   slog.Level    // least level of Log effects; the zero level is info
@@ -121,6 +124,9 @@
 			return fmt.Errorf("router: peer %q stands twice", p.Name)
 		}
 		peers[p.Name] = true
+		if len(p.ASPs) == 0 || p.Kind == PeerExchange && len(p.ASPs) > 1 || p.Needed > len(p.ASPs) {
+			return fmt.Errorf("router: peer %q has %d processes, %d are needed; an exchange has one", p.Name, len(p.ASPs), p.Needed)
+		}
 		if p.Kind == PeerExchange && (!names[p.Name] || codes[p.PointCode] != p.Name || p.Name == c.Name) {
 			return fmt.Errorf("router: peer %q with point code %d is no other exchange", p.Name, p.PointCode)
 		}
--- a/router/effects.go
+++ b/router/effects.go
@@ -10,18 +10,22 @@
 // PeerID is the place of a peer in Config.Peers.
 type PeerID int
 
+// LinkID names one connection: the processes of all peers are counted in the order of Config.Peers and of their
+// ASPs, from 0.
+type LinkID int
+
 // Effect is something that the shell around a Router carries out or may look at.
 type Effect interface{ effect() }
 
-// Write asks for bytes to be written on the connection of a peer, in order.
+// Write asks for bytes to be written on a connection, in order.
 type Write struct {
-	Peer  PeerID
+	Link  LinkID
 	Bytes []byte
 }
 
-// Close asks for the connection of a peer to be closed.
+// Close asks for a connection to be closed.
 type Close struct {
-	Peer PeerID
+	Link LinkID
 	Err  error
 }
 
--- a/router/host.go
+++ b/router/host.go
@@ -6,7 +6,6 @@
 
 	"finchlatch/isup"
 	"finchlatch/logic"
-	"finchlatch/m3ua"
 )
 
 // host carries out the actions of the Controller.
@@ -37,7 +36,7 @@
 	if p == nil {
 		return logic.NotSent, 0
 	}
-	if p.assoc.State() != m3ua.Active {
+	if !p.active() {
 		return logic.NoConnect, 0
 	}
 	l, ok := r.seize(c, p)
@@ -58,7 +57,7 @@
 	l.seizure = s
 	p.group.Send(s, c.forward(r.now, s.Map))
 	r.flush(p)
-	l.end = p.offset
+	r.onLink(l)
 	r.touch(p)
 	return l, true
 }
--- a/router/peer.go
+++ b/router/peer.go
@@ -11,28 +11,39 @@
 	"finchlatch/trunk"
 )
 
-// peer is a signalling relation: an association and a trunk group.
+// peer is a signalling relation: an application server of one or more processes, and a trunk group.
 type peer struct {
 	id      PeerID
 	cfg     Peer
-	assoc   *m3ua.Assoc
+	as      *m3ua.AS
+	links   []*link
 	group   *trunk.Group
-	offset  int64         // bytes written since Connected
 	wake    time.Duration // the timer armed for the state machines; 0 none
-	lostAt  time.Duration // when an active association was lost; 0: it is not
 	began   bool          // the group has been reset since this Router was made
 	touched bool
 	leaving bool // it has said that it goes out of service
 	told    [2]int
-	held    []heldMessage // call messages for an association that may come back
+	held    []heldMessage // call messages for when it is back
+}
+
+// link is the association with one process of a peer.
+type link struct {
+	id     LinkID
+	peer   *peer
+	asp    int
+	assoc  *m3ua.Assoc
+	offset int64 // bytes written since Connected
 }
 
 // heldMessage is a message of a call that could not be sent.
 type heldMessage struct {
-	seizure *trunk.Seizure
+	leg     *leg
 	message *isup.Message
 }
 
+// active tells whether a peer takes traffic now.
+func (p *peer) active() bool { return p.as.State() == m3ua.ASActive }
+
 func (r *Router) addPeer(id PeerID, cfg Peer) error {
 	direction := map[PeerKind]trunk.Direction{PeerExchange: trunk.BothWay, PeerClient: trunk.Incoming,
 		PeerSubscribers: trunk.Outgoing}[cfg.Kind]
@@ -41,7 +52,16 @@
 	if err != nil {
 		return err
 	}
-	p := &peer{id: id, cfg: cfg, group: g, assoc: m3ua.NewAssoc(cfg.Assoc), told: [2]int{-1, -1}}
+	p := &peer{id: id, cfg: cfg, group: g, told: [2]int{-1, -1}, as: m3ua.NewAS(m3ua.ASSettings{Mode: cfg.Mode,
+		ASPs: len(cfg.ASPs), Needed: cfg.Needed, Recovery: r.cfg.Recovery})}
+	for i, set := range cfg.ASPs {
+		set.Key = r.home.PointCode
+		if len(cfg.ASPs) > 1 {
+			set.Mode = max(cfg.Mode, m3ua.Override)
+		}
+		l := &link{id: LinkID(len(r.links)), peer: p, asp: i, assoc: m3ua.NewAssoc(set)}
+		r.links, p.links = append(r.links, l), append(p.links, l)
+	}
 	r.peers = append(r.peers, p)
 	r.byName[cfg.Name], r.byCode[cfg.PointCode] = p, p
 	return nil
@@ -51,18 +71,24 @@
 func (r *Router) settle(p *peer) {
 	for busy := true; busy; {
 		busy = r.signals(p)
-		ind := p.assoc.Indications()
-		for _, i := range ind {
-			r.indicated(p, i)
+		for _, l := range p.links {
+			ind := l.assoc.Indications()
+			for _, i := range ind {
+				r.indicated(l, i)
+			}
+			busy = busy || len(ind) > 0
+		}
+		for _, e := range p.as.Events() {
+			r.served(p, e)
+			busy = true
 		}
-		busy = busy || len(ind) > 0
 		r.flush(p)
 	}
 	r.reportGroup(p)
 	r.wakeFor(p)
 }
 
-// flush hands the messages of a group to its association and the bytes of the association to the shell.
+// flush hands the messages of a group to the associations of its peer and their bytes to the shell.
 func (r *Router) flush(p *peer) {
 	for _, m := range p.group.Output() {
 		b, err := m.Append(r.scratch[:0])
@@ -72,12 +98,25 @@
 			continue
 		}
 		// What cannot be sent now is sent again by the group's timers, or is held by pass.
-		_ = p.assoc.Send(m3ua.ProtocolData{OPC: r.home.PointCode, DPC: p.cfg.PointCode, SI: m3ua.ServiceISUP,
-			NI: r.cfg.Network, SLS: byte(m.CIC & 0x0f), Data: b})
+		for _, asp := range p.as.Route(int(m.CIC)) {
+			_ = p.links[asp].assoc.Send(m3ua.ProtocolData{OPC: r.home.PointCode, DPC: p.cfg.PointCode, SI: m3ua.ServiceISUP,
+				NI: r.cfg.Network, SLS: byte(m.CIC & 0x0f), Data: b})
+		}
+	}
+	for _, l := range p.links {
+		if b := l.assoc.Output(); len(b) > 0 {
+			l.offset += int64(len(b))
+			r.emit(Write{Link: l.id, Bytes: b})
+		}
 	}
-	if b := p.assoc.Output(); len(b) > 0 {
-		p.offset += int64(len(b))
-		r.emit(Write{Peer: p.id, Bytes: b})
+}
+
+// tell sends a network management message about the own point code to a peer.
+func (r *Router) tell(p *peer, k m3ua.Kind, congestion byte) {
+	for _, l := range p.links {
+		if l.assoc.Network(k, r.home.PointCode, congestion) == nil {
+			r.touch(p)
+		}
 	}
 }
 
@@ -93,9 +132,15 @@
 
 // wakeFor arms a timer for the next deadline of the state machines.
 func (r *Router) wakeFor(p *peer) {
-	at, ok := p.assoc.Deadline()
-	if t, also := p.group.Deadline(); also && (!ok || t < at) {
-		at, ok = t, true
+	at, ok := p.group.Deadline()
+	sooner := func(t time.Duration, also bool) {
+		if also && (!ok || t < at) {
+			at, ok = t, true
+		}
+	}
+	sooner(p.as.Deadline())
+	for _, l := range p.links {
+		sooner(l.assoc.Deadline())
 	}
 	if at = max(at, r.now); ok && (p.wake == 0 || at < p.wake) {
 		p.wake = at
@@ -104,21 +149,16 @@
 }
 
 // indicated takes an indication of an association.
-func (r *Router) indicated(p *peer, i m3ua.Indication) {
+func (r *Router) indicated(l *link, i m3ua.Indication) {
+	p := l.peer
 	switch i.Kind {
 	case m3ua.IndState:
-		r.log(slog.LevelInfo, "association", 0, slog.String("peer", p.cfg.Name), slog.String("state", i.State.String()))
-		switch {
-		case i.State == m3ua.Active:
-			r.up(p)
-		case p.lostAt == 0 && p.began:
-			p.lostAt = max(r.now, 1)
-			r.arm(r.now+r.cfg.Recovery, timer{kind: timerRecover, peer: p.id})
-		}
+		r.log(slog.LevelInfo, "association", 0, slog.String("peer", p.cfg.Name), slog.Int("asp", l.asp), slog.String("state", i.State.String()))
+		p.as.Update(r.now, l.asp, i.State)
 	case m3ua.IndData:
 		r.data(p, i.Data)
 	case m3ua.IndNetwork:
-		r.network(p, i.Message)
+		r.network(l, i.Message)
 	case m3ua.IndPeer:
 		if code, ok := i.Message.Uint32(m3ua.TagErrorCode); ok {
 			r.log(slog.LevelWarn, "peer reports an error", 0, slog.String("peer", p.cfg.Name), slog.Uint64("code", uint64(code)))
@@ -127,14 +167,38 @@
 		r.log(slog.LevelWarn, "bad message", 0, slog.String("peer", p.cfg.Name), slog.Any("err", i.Err))
 	case m3ua.IndClose:
 		r.log(slog.LevelWarn, "connection given up", 0, slog.String("peer", p.cfg.Name), slog.Any("err", i.Err))
-		r.emit(Close{Peer: p.id, Err: i.Err})
+		r.emit(Close{Link: l.id, Err: i.Err})
+	}
+}
+
+// served takes an event of an application server.
+func (r *Router) served(p *peer, e m3ua.ASEvent) {
+	switch e.Kind {
+	case m3ua.ASOverridden:
+		p.links[e.ASP].assoc.Overridden()
+	case m3ua.ASShort:
+		for _, l := range p.links {
+			l.assoc.NotifyShort()
+		}
+	case m3ua.ASChanged:
+		if len(p.links) > 1 {
+			r.log(slog.LevelInfo, "application server", 0, slog.String("peer", p.cfg.Name), slog.String("state", e.State.String()))
+		}
+		for _, l := range p.links {
+			l.assoc.NotifyAS(e.State)
+		}
+		switch {
+		case e.State == m3ua.ASActive:
+			r.up(p)
+		case e.State != m3ua.ASPending && p.began:
+			r.giveUp(p)
+		}
 	}
 }
 
 // up takes the news that a peer takes traffic: what it may know of older calls is reset the first time, and
 // what was held for it goes out later times.
 func (r *Router) up(p *peer) {
-	p.lostAt = 0
 	if !p.began {
 		p.began = true
 		p.group.ResetAll(r.now)
@@ -144,10 +208,10 @@
 	held := p.held
 	p.held = nil
 	for _, h := range held {
-		p.group.Send(h.seizure, h.message)
+		r.pass(h.leg, h.message)
 	}
 	if r.draining && p.cfg.Kind == PeerExchange {
-		_ = p.assoc.Network(m3ua.DRST, r.home.PointCode, 0)
+		r.tell(p, m3ua.DRST, 0)
 	}
 }
 
@@ -187,19 +251,22 @@
 		c := &isup.Message{CIC: m.CIC, Type: isup.CFN}
 		c.Set(isup.ParamCause, 0x80|byte(isup.LocationLocalNetwork), 0x80|byte(how.Cause))
 		if b, err := c.Append(nil); err == nil {
-			_ = p.assoc.Send(m3ua.ProtocolData{OPC: r.home.PointCode, DPC: p.cfg.PointCode, SI: m3ua.ServiceISUP,
-				NI: r.cfg.Network, Data: b})
+			for _, asp := range p.as.Route(int(m.CIC)) {
+				_ = p.links[asp].assoc.Send(m3ua.ProtocolData{OPC: r.home.PointCode, DPC: p.cfg.PointCode, SI: m3ua.ServiceISUP,
+					NI: r.cfg.Network, Data: b})
+			}
 		}
 	}
 	return how.Discard
 }
 
-// network takes a network management message: a neighbour tells of itself.
-func (r *Router) network(p *peer, m *m3ua.Message) {
+// network takes a network management message: a neighbour tells of itself, or audits us.
+func (r *Router) network(l *link, m *m3ua.Message) {
+	p := l.peer
 	if m.Kind == m3ua.DAUD { // an audit of the own point code is answered; others are not known here
 		answer := map[bool]m3ua.Kind{true: m3ua.DRST, false: m3ua.DAVA}[r.draining]
 		if slices.Contains(m3ua.AffectedPointCodes(m), r.home.PointCode) {
-			_ = p.assoc.Network(answer, r.home.PointCode, 0)
+			_ = l.assoc.Network(answer, r.home.PointCode, 0)
 		}
 		return
 	}
@@ -220,25 +287,38 @@
 	}
 }
 
-// lost ends the attempts that were out to a peer when its connection went.
-func (r *Router) lost(p *peer, written int64) {
+// lost takes what a connection took with it. Attempts that were out on it are over, unless other processes of the
+// peer go on; answers that went out on it and may not have been read go out again.
+func (r *Router) lost(l *link, written, confirmed int64) {
 	for _, c := range r.sorted() {
-		if c.out == nil || c.out.peer != p || c.answered {
-			continue
-		}
-		leg := c.out
-		if written >= 0 && leg.end > written {
-			p.group.Drop(leg.seizure)
-			r.attemptOver(c, logic.NoConnect, 0)
-			continue
+		switch {
+		case c.out != nil && c.out.link == l && !c.answered && len(l.peer.links) == 1:
+			r.lostAttempt(c, written)
+		case c.in != nil && c.in.link == l && c.answered && c.in.end > confirmed:
+			r.pass(c.in, c.answer)
 		}
-		p.group.Release(r.now, leg.seizure, isup.ReleaseInfo{Cause: isup.CauseTemporaryFailure,
-			Location: isup.LocationLocalNetwork})
-		r.attemptOver(c, logic.Reset, 0)
 	}
 }
 
-// giveUp ends the calls of a peer whose association did not come back in time. Its group is reset when it does.
+// lostAttempt ends an attempt whose connection went: it never ran if its IAM was not written whole.
+func (r *Router) lostAttempt(c *call, written int64) {
+	leg := c.out
+	if written >= 0 && leg.end > written {
+		leg.peer.group.Drop(leg.seizure)
+		r.attemptOver(c, logic.NoConnect, 0)
+		return
+	}
+	info := isup.ReleaseInfo{Cause: isup.CauseTemporaryFailure, Location: isup.LocationLocalNetwork}
+	leg.peer.group.Release(r.now, leg.seizure, info)
+	if !c.managed {
+		c.out = nil
+		r.answer(c, Failed, info)
+		return
+	}
+	r.attemptOver(c, logic.Reset, 0)
+}
+
+// giveUp ends the calls of a peer that did not come back in time. Its group is reset when it does.
 func (r *Router) giveUp(p *peer) {
 	r.log(slog.LevelWarn, "association not back in time: its calls are released", 0, slog.String("peer", p.cfg.Name))
 	p.held, p.leaving = nil, false
@@ -246,12 +326,40 @@
 	r.touch(p)
 }
 
-// pass sends a message of a call, or holds it for an association that may come back.
+// heldPerCircuit bounds what is kept for a peer that may come back: address complete, progress, answer and one more.
+const heldPerCircuit = 4
+
+// hold keeps a message for a peer that may come back. More than the bound is dropped: the call then ends by the
+// caller's or the peer's timers.
+func (r *Router) hold(l *leg, m *isup.Message) {
+	most := r.cfg.Held
+	if most == 0 {
+		most = heldPerCircuit * l.peer.group.Size()
+	}
+	if len(l.peer.held) >= most {
+		r.log(slog.LevelWarn, "too much held for a lost association: message dropped", l.call.id, slog.String("peer", l.peer.cfg.Name))
+		return
+	}
+	l.link = nil // on no connection: another loss does not touch it
+	l.peer.held = append(l.peer.held, heldMessage{l, m})
+}
+
+// pass sends a message of a call, or holds it for a peer that may come back.
 func (r *Router) pass(l *leg, m *isup.Message) {
-	if l.peer.assoc.State() != m3ua.Active {
-		l.peer.held = append(l.peer.held, heldMessage{l.seizure, m})
+	if !l.peer.active() {
+		r.hold(l, m)
 		return
 	}
 	l.peer.group.Send(l.seizure, m)
+	r.flush(l.peer)
+	r.onLink(l)
 	r.touch(l.peer)
 }
+
+// onLink notes on which connection and up to which byte the messages of a leg have gone out.
+func (r *Router) onLink(l *leg) {
+	if asps := l.peer.as.Route(int(l.seizure.CIC)); len(asps) > 0 {
+		l.link = l.peer.links[asps[0]]
+		l.end = l.link.offset
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -21,6 +21,7 @@
 	table      *numbering.Table
 	categories numbering.Categories
 	peers      []*peer
+	links      []*link
 	byName     map[string]*peer // exchanges and others
 	byCode     map[uint32]*peer
 	calls      map[uint64]*call
@@ -85,28 +86,30 @@
 	r.run()
 }
 
-// Connected takes the news that the transport connection of a peer is up.
-func (r *Router) Connected(now time.Duration, id PeerID) {
-	p := r.enter(now, id)
-	p.offset = 0
-	p.assoc.Connected(now)
+// Connected takes the news that a transport connection is up.
+func (r *Router) Connected(now time.Duration, id LinkID) {
+	l := r.link(now, id)
+	l.offset = 0
+	l.assoc.Connected(now)
 	r.run()
 }
 
-// Disconnected takes the news that the transport connection of a peer is gone. written is how many of the bytes
+// Disconnected takes the news that a transport connection is gone. written is how many of the bytes
 // asked for by Write since Connected have been handed to the transport: an IAM that was not written whole never
 // ran. A negative count means that all were.
-func (r *Router) Disconnected(now time.Duration, id PeerID, written int64) {
-	p := r.enter(now, id)
-	p.assoc.Lost()
-	r.lost(p, written)
+func (r *Router) Disconnected(now time.Duration, id LinkID, written int64) {
+	l := r.link(now, id)
+	confirmed := l.assoc.Confirmed()
+	l.assoc.Lost()
+	r.run() // who takes the traffic over is settled first
+	r.lost(l, written, confirmed)
 	r.run()
 }
 
-// Receive takes bytes from the connection of a peer, in any pieces.
-func (r *Router) Receive(now time.Duration, id PeerID, b []byte) {
-	p := r.enter(now, id)
-	p.assoc.Receive(now, b)
+// Receive takes bytes from a connection, in any pieces.
+func (r *Router) Receive(now time.Duration, id LinkID, b []byte) {
+	l := r.link(now, id)
+	l.assoc.Receive(now, b)
 	r.run()
 }
 
@@ -195,8 +198,8 @@
 
 func (r *Router) announce(k m3ua.Kind) {
 	for _, p := range r.peers {
-		if p.cfg.Kind == PeerExchange && p.assoc.Network(k, r.home.PointCode, 0) == nil {
-			r.touch(p)
+		if p.cfg.Kind == PeerExchange {
+			r.tell(p, k, 0)
 		}
 	}
 }
@@ -205,7 +208,9 @@
 func (r *Router) Leave(now time.Duration) {
 	r.now = now
 	for _, p := range r.peers {
-		p.assoc.Leave(now)
+		for _, l := range p.links {
+			l.assoc.Leave(now)
+		}
 		r.touch(p)
 	}
 	r.run()
@@ -248,6 +253,13 @@
 	return p
 }
 
+func (r *Router) link(now time.Duration, id LinkID) *link {
+	r.now = now
+	l := r.links[id]
+	r.touch(l.peer)
+	return l
+}
+
 func (r *Router) touch(p *peer) {
 	if !p.touched {
 		p.touched = true
@@ -309,7 +321,6 @@
 	timerAttempt                  // the time-out of an attempt
 	timerDue                      // the last moment for the answer of a call that ends here
 	timerPeer                     // a state machine of a peer
-	timerRecover                  // a lost association is given up
 )
 
 type timer struct {
@@ -344,14 +355,13 @@
 		p := r.peers[t.peer]
 		if p.wake == t.at {
 			p.wake = 0
-			p.assoc.Tick(r.now)
+			for _, l := range p.links {
+				l.assoc.Tick(r.now)
+			}
+			p.as.Tick(r.now)
 			p.group.Tick(r.now)
 			r.touch(p)
 		}
-	case timerRecover:
-		if p := r.peers[t.peer]; p.lostAt > 0 && r.now-p.lostAt >= r.cfg.Recovery {
-			r.giveUp(p)
-		}
 	}
 }
 
--- a/router/status.go
+++ b/router/status.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"time"
 
 	"finchlatch/logic"
@@ -35,9 +36,11 @@
 	Leaving bool // it has said so itself
 }
 
-// AssociationView is an association.
+// AssociationView is the association with one process of a peer.
 type AssociationView struct {
 	Peer  string
+	ASP   int
+	AS    m3ua.ASState // of the whole peer
 	State m3ua.State
 	Sent  int64 // octets on this connection
 	Held  int   // messages that wait for it to come back
@@ -110,7 +113,10 @@
 // Associations lists the associations in the order of the peers.
 func (r *Router) Associations() (out []AssociationView) {
 	for _, p := range r.peers {
-		out = append(out, AssociationView{Peer: p.cfg.Name, State: p.assoc.State(), Sent: p.offset, Held: len(p.held)})
+		for _, l := range p.links {
+			out = append(out, AssociationView{Peer: p.cfg.Name, ASP: l.asp, AS: p.as.State(), State: l.assoc.State(),
+				Sent: l.offset, Held: len(p.held)})
+		}
 	}
 	return out
 }
@@ -124,6 +130,24 @@
 	return p.id, true
 }
 
+// Link finds the connection of a process of a peer; false: there is none.
+func (r *Router) Link(peer string, asp int) (LinkID, bool) {
+	p := r.byName[peer]
+	if p == nil || asp < 0 || asp >= len(p.links) {
+		return 0, false
+	}
+	return p.links[asp].id, true
+}
+
+// LinkName names a connection for the operators.
+func (r *Router) LinkName(id LinkID) string {
+	l := r.links[id]
+	if len(l.peer.links) == 1 {
+		return l.peer.cfg.Name
+	}
+	return fmt.Sprintf("%s/%d", l.peer.cfg.Name, l.asp)
+}
+
 // Name is the own exchange.
 func (r *Router) Name() string { return r.home.Name }
 
--- a/server/console.go
+++ b/server/console.go
@@ -181,7 +181,7 @@
 		},
 		"associations": func(r *router.Router, now time.Duration) {
 			for _, a := range r.Associations() {
-				add("association %s %v sent %d held %d", a.Peer, a.State, a.Sent, a.Held)
+				add("association %s/%d %v %v sent %d held %d", a.Peer, a.ASP, a.State, a.AS, a.Sent, a.Held)
 			}
 		},
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -29,7 +29,7 @@
 	done     chan struct{} // closed when the loop has ended
 	stop     chan struct{} // closed to end at once
 	stopOnce sync.Once
-	links    map[router.PeerID]*link
+	links    map[router.LinkID]*link
 	wg       sync.WaitGroup
 	listener net.Listener
 	console  net.Listener
@@ -68,7 +68,7 @@
 		return nil, err
 	}
 	s := &Server{cfg: cfg, log: log.With("exchange", cfg.Router.Name), router: r, inputs: make(chan input, 256),
-		done: make(chan struct{}), stop: make(chan struct{}), links: map[router.PeerID]*link{}}
+		done: make(chan struct{}), stop: make(chan struct{}), links: map[router.LinkID]*link{}}
 	for _, o := range options {
 		o(s)
 	}
@@ -290,12 +290,12 @@
 	for _, e := range s.router.Effects() {
 		switch e := e.(type) {
 		case router.Write:
-			if l := s.links[e.Peer]; l != nil && !l.write(e.Bytes, s.cfg.QueueBytes) {
-				s.log.Warn("peer does not read: connection closed", "peer", s.cfg.Router.Peers[e.Peer].Name)
+			if l := s.links[e.Link]; l != nil && !l.write(e.Bytes, s.cfg.QueueBytes) {
+				s.log.Warn("peer does not read: connection closed", "peer", s.router.LinkName(e.Link))
 				l.close()
 			}
 		case router.Close:
-			if l := s.links[e.Peer]; l != nil {
+			if l := s.links[e.Link]; l != nil {
 				l.close()
 			}
 		case router.Log:
@@ -357,7 +357,7 @@
 func (s *Server) context() context.Context { return stopContext{s.stop} }
 
 // identify finds out which peer has connected, by the ASP identifier in its ASPUP.
-func (s *Server) identify(conn net.Conn) (router.PeerID, []byte, error) {
+func (s *Server) identify(conn net.Conn) (router.LinkID, []byte, error) {
 	_ = conn.SetReadDeadline(time.Now().Add(identifyTime))
 	defer conn.SetReadDeadline(time.Time{})
 	framer := m3ua.Framer{Max: s.cfg.MessageBytes}
@@ -399,7 +399,7 @@
 	dialTime    = 2 * time.Second
 )
 
-func (s *Server) dial(id router.PeerID, addr string) {
+func (s *Server) dial(id router.LinkID, addr string) {
 	defer s.wg.Done()
 	ctx := s.context()
 	pause := firstRedial
@@ -420,7 +420,7 @@
 }
 
 // serve works on one connection until it ends.
-func (s *Server) serve(id router.PeerID, conn net.Conn, first []byte) {
+func (s *Server) serve(id router.LinkID, conn net.Conn, first []byte) {
 	l := newLink(conn)
 	if t, ok := conn.(*net.TCPConn); ok {
 		_ = t.SetNoDelay(true)
@@ -439,7 +439,7 @@
 	s.post(func(now time.Duration) { s.down(now, id, l) })
 }
 
-func (s *Server) up(now time.Duration, id router.PeerID, l *link, first []byte) {
+func (s *Server) up(now time.Duration, id router.LinkID, l *link, first []byte) {
 	if old := s.links[id]; old != nil { // the newest connection of a peer counts
 		old.close()
 		s.router.Disconnected(now, id, old.written())
@@ -451,7 +451,7 @@
 	}
 }
 
-func (s *Server) down(now time.Duration, id router.PeerID, l *link) {
+func (s *Server) down(now time.Duration, id router.LinkID, l *link) {
 	if s.links[id] == l {
 		delete(s.links, id)
 		s.router.Disconnected(now, id, l.written())
@@ -465,7 +465,7 @@
 
 // read hands what comes to the loop, one piece at a time: a peer that sends faster than calls are handled is
 // slowed down by TCP.
-func (s *Server) read(id router.PeerID, l *link) {
+func (s *Server) read(id router.LinkID, l *link) {
 	for {
 		buf := buffers.Get().(*[readSize]byte)
 		n, err := l.conn.Read(buf[:])
@@ -482,7 +482,7 @@
 		}
 		if err != nil {
 			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
-				s.log.Debug("connection ended", "peer", s.cfg.Router.Peers[id].Name, "err", err)
+				s.log.Debug("connection ended", "link", int(id), "err", err)
 			}
 			return
 		}
--- a/trunk/group.go
+++ b/trunk/group.go
@@ -89,6 +89,7 @@
 	circuits []int
 	heard    bool // a backward message has come: no dual seizure any more
 	over     bool
+	call     string // of an incoming call on a group that only the far end seizes: what tells it from others
 }
 
 // Width is the number of circuits held.
--- a/trunk/receive.go
+++ b/trunk/receive.go
@@ -76,13 +76,19 @@
 		g.refuse(now, m.CIC, isup.CauseProtocolError)
 		return
 	}
-	lost := []*Seizure{}
+	var lost []*Seizure
+	var forgotten []*circuit // with calls that the far end no longer knows of
 	for _, j := range circuits {
 		c := &g.circuits[j]
 		switch {
 		case c.local.hardware:
 			g.refuse(now, m.CIC, isup.CauseNetworkOutOfOrder)
 			return
+		case c.state == SeizedIn && g.set.Direction == Incoming:
+			if c.by.call == callOf(m) {
+				return // repeated: the call is known, and its answer is on the way
+			}
+			forgotten = append(forgotten, c)
 		case c.state == SeizedOut && !c.by.heard && !g.controls(c.by, len(circuits), m.CIC):
 			lost = append(lost, c.by)
 		case c.state != Idle:
@@ -95,7 +101,13 @@
 			g.tell(Lost, s, nil)
 		}
 	}
+	for _, c := range forgotten {
+		g.cut(c)
+	}
 	s := &Seizure{CIC: m.CIC, circuits: circuits, Map: set.Map}
+	if g.set.Direction == Incoming {
+		s.call = callOf(m)
+	}
 	for _, j := range circuits {
 		if g.circuits[j].remote.maintenance { // Q.764 2.8.2.3: an IAM lifts the far end's block
 			g.blockRemote([]int{j}, isup.Maintenance, false)
@@ -105,6 +117,14 @@
 	g.tell(Arrived, s, m)
 }
 
+// callOf is what tells a call from others on its circuit: who calls whom. An IAM on a circuit that holds a call is
+// the same one repeated where these agree, and else a new one of a far end that has lost its memory.
+func callOf(m *isup.Message) string {
+	called, _ := m.Get(isup.ParamCalledNumber)
+	calling, _ := m.Get(isup.ParamCallingNumber)
+	return string(called) + "|" + string(calling)
+}
+
 // named finds the circuits that an IAM names by its circuit assignment map, or one after the other.
 func (g *Group) named(first int, set isup.Setup) ([]int, bool) {
 	width := max(1, set.Width)
