--- a/server/console.go
+++ b/server/console.go
@@ -211,13 +211,11 @@
 		}
 		return s.listCommand([]string{"list", "update", args[1], state})
 	}
-	return nil, s.Do(func(r *router.Router, now time.Duration) {
-		if on {
-			r.Drain(now)
-		} else {
-			r.Undrain(now)
-		}
-	})
+	kind := router.InUndrain
+	if on {
+		kind = router.InDrain
+	}
+	return nil, s.apply(router.Input{Kind: kind})
 }
 
 // listCommand takes an entry of the exchange list. The start is given as its age: clocks need not agree.
@@ -259,7 +257,7 @@
 				}
 			}
 		}
-		r.List(now, logic.ListUpdate, []logic.Office{o})
+		s.step(router.Input{At: now, Kind: router.InList, ListKind: logic.ListUpdate, List: []logic.Office{o}})
 	})
 	if err == nil {
 		err = wrong
@@ -279,9 +277,8 @@
 	return 0, 0, fmt.Errorf("%q is no number of circuits and no share such as 40%%", text)
 }
 
-// onPeer runs f with a peer and an amount, a share of which is taken of what of gives.
-func (s *Server) onPeer(args []string, of func(g router.GroupView) int,
-	f func(r *router.Router, now time.Duration, id router.PeerID, n int) int) ([]string, error) {
+// onPeer tells the Router in with a peer and an amount, a share of which is taken of what of gives.
+func (s *Server) onPeer(args []string, of func(g router.GroupView) int, in router.Input) ([]string, error) {
 	n, share, err := amount(args[2])
 	if err != nil {
 		return nil, err
@@ -296,7 +293,8 @@
 		if n == 0 {
 			n = int(share*float64(of(r.Groups()[id])) + 0.5)
 		}
-		changed = f(r, now, id, n)
+		in.At, in.Peer, in.Count = now, id, int64(n)
+		changed = s.step(in)
 	})
 	if err == nil && !known {
 		err = fmt.Errorf("no peer %q", args[1])
@@ -313,14 +311,10 @@
 		kind = isup.Hardware
 	}
 	size := func(g router.GroupView) int { return g.Size }
-	return s.onPeer(args, size, func(r *router.Router, now time.Duration, id router.PeerID, n int) int {
-		return r.Block(now, id, n, kind, on)
-	})
+	return s.onPeer(args, size, router.Input{Kind: router.InBlock, Group: kind, On: on})
 }
 
 func (s *Server) resetCommand(args []string) ([]string, error) {
 	calls := func(g router.GroupView) int { return g.Out + g.In }
-	return s.onPeer(args, calls, func(r *router.Router, now time.Duration, id router.PeerID, n int) int {
-		return r.Reset(now, id, n)
-	})
+	return s.onPeer(args, calls, router.Input{Kind: router.InReset})
 }
--- a/server/server.go
+++ b/server/server.go
@@ -35,6 +35,8 @@
 	console  net.Listener
 	list     []logic.Office
 	answers  [4]uint64
+	watch    func(in router.Input)
+	effects  func(e []router.Effect)
 }
 
 // input is something that the loop does with the Router.
@@ -55,6 +57,12 @@
 // WithList starts with the exchange list as it was last known.
 func WithList(list []logic.Office) Option { return func(s *Server) { s.list = list } }
 
+// WithObserver has every input of the Router and all of its effects shown, in order, on the goroutine that owns it.
+// Inputs must not be kept: their bytes change. Either function may be nil.
+func WithObserver(inputs func(router.Input), effects func([]router.Effect)) Option {
+	return func(s *Server) { s.watch, s.effects = inputs, effects }
+}
+
 // New makes a Server from a checked configuration.
 func New(cfg *config.Config, log *slog.Logger, options ...Option) (*Server, error) {
 	settings := cfg.Router
@@ -154,7 +162,7 @@
 // Shutdown drains for at most the time given and ends the server.
 func (s *Server) Shutdown(within time.Duration) error {
 	s.log.Info("draining", "within", within)
-	if err := s.Do(func(r *router.Router, now time.Duration) { r.Drain(now) }); err != nil {
+	if err := s.apply(router.Input{Kind: router.InDrain}); err != nil {
 		return err
 	}
 	limit := time.NewTimer(within)
@@ -176,10 +184,7 @@
 			waiting = false
 		}
 	}
-	err := s.Do(func(r *router.Router, now time.Duration) {
-		r.ReleaseAll(now)
-		r.Leave(now)
-	})
+	err := errors.Join(s.apply(router.Input{Kind: router.InReleaseAll}), s.apply(router.Input{Kind: router.InLeave}))
 	s.flushLinks()
 	s.Kill()
 	s.log.Info("ended", "stands", s.answers[router.Stands], "refused", s.answers[router.Refused],
@@ -212,7 +217,23 @@
 	s.wg.Wait()
 }
 
-// Do runs f on the Router, between two events.
+// apply tells the Router something, between two events, and waits until it has been told.
+func (s *Server) apply(in router.Input) error {
+	return s.Do(func(_ *router.Router, now time.Duration) {
+		in.At = now
+		s.step(in)
+	})
+}
+
+// step tells the Router something; the loop's goroutine does so.
+func (s *Server) step(in router.Input) int {
+	if s.watch != nil {
+		s.watch(in)
+	}
+	return s.router.Apply(in)
+}
+
+// Do runs f on the Router, between two events. f may look; what changes the Router goes by apply.
 func (s *Server) Do(f func(r *router.Router, now time.Duration)) error {
 	ran := make(chan struct{})
 	if !s.post(func(now time.Duration) { f(s.router, now); close(ran) }) {
@@ -242,7 +263,7 @@
 	defer close(s.done)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	s.router.Start(s.now(), s.list)
+	s.step(router.Input{At: s.now(), Kind: router.InStart, List: s.list})
 	s.carryOut()
 	for {
 		if at, ok := s.router.Next(); ok {
@@ -259,7 +280,7 @@
 			s.closeLinks()
 			return
 		}
-		s.router.Advance(s.now())
+		s.step(router.Input{At: s.now(), Kind: router.InAdvance})
 		s.carryOut()
 	}
 }
@@ -287,7 +308,11 @@
 
 // carryOut does what the Router asks for.
 func (s *Server) carryOut() {
-	for _, e := range s.router.Effects() {
+	effects := s.router.Effects()
+	if s.effects != nil {
+		s.effects(effects)
+	}
+	for _, e := range effects {
 		switch e := e.(type) {
 		case router.Write:
 			if l := s.links[e.Link]; l != nil && !l.write(e.Bytes, s.cfg.QueueBytes) {
@@ -442,19 +467,19 @@
 func (s *Server) up(now time.Duration, id router.LinkID, l *link, first []byte) {
 	if old := s.links[id]; old != nil { // the newest connection of a peer counts
 		old.close()
-		s.router.Disconnected(now, id, old.written())
+		s.step(router.Input{At: now, Kind: router.InDisconnected, Link: id, Count: old.written()})
 	}
 	s.links[id] = l
-	s.router.Connected(now, id)
+	s.step(router.Input{At: now, Kind: router.InConnected, Link: id})
 	if len(first) > 0 {
-		s.router.Receive(now, id, first)
+		s.step(router.Input{At: now, Kind: router.InReceive, Link: id, Bytes: first})
 	}
 }
 
 func (s *Server) down(now time.Duration, id router.LinkID, l *link) {
 	if s.links[id] == l {
 		delete(s.links, id)
-		s.router.Disconnected(now, id, l.written())
+		s.step(router.Input{At: now, Kind: router.InDisconnected, Link: id, Count: l.written()})
 	}
 }
 
@@ -472,7 +497,7 @@
 		if n > 0 {
 			ok := s.post(func(now time.Duration) {
 				if s.links[id] == l {
-					s.router.Receive(now, id, buf[:n])
+					s.step(router.Input{At: now, Kind: router.InReceive, Link: id, Bytes: buf[:n]})
 				}
 				buffers.Put(buf)
 			})
