Fair shares of clients in an overload; waits in the process count as patience; connections capped

One flooding client took what others needed. Package ingress (pure) gives each client a max-min fair share of what may be let in while the module refuses more than a tenth of the calls; worthier calls go first inside a share; SCON and the automatic congestion level tell the client. Bytes that waited in the daemon shorten the patience of their calls by as much. Accepted connections are capped with ERR refused - management blocking.

--- a/config/config.go
+++ b/config/config.go
@@ -72,6 +72,7 @@
 	ASPs           []uint32 `json:"asps"`       // the same of several processes of one client, in place of asp_id
 	Mode           string   `json:"mode"`       // how they share: override, loadshare or broadcast
 	Needed         int      `json:"needed"`     // of them active before traffic begins
+	Weight         float64  `json:"weight"`     // of a client: its part of what clients share in an overload; 0: 1
 	RoutingContext *uint32  `json:"routing_context"`
 	Circuits       Circuits `json:"circuits"`
 	Heartbeat      Span     `json:"heartbeat"`
@@ -142,6 +143,8 @@
 type Limits struct {
 	QueueBytes   int `json:"queue_bytes"`
 	MessageBytes int `json:"message_bytes"`
+	Calls        int `json:"calls"`       // of one client at a time; 0: as many as it has circuits
+	Connections  int `json:"connections"` // accepted ones, of all peers; 0: 4096
 }
 
 // Config is a checked configuration.
@@ -155,6 +158,7 @@
 	Drain        time.Duration
 	QueueBytes   int
 	MessageBytes int
+	Connections  int
 }
 
 // Fault is one thing that is wrong.
@@ -344,6 +348,7 @@
 		asps := p.ASPs
 		c.must(len(asps) == 0 || p.ASPID == 0 && p.Dial == "" && kind == router.PeerClient, at+".asps",
 			"only clients that connect to us have several processes, and asp_id names a single one")
+		c.must(p.Weight >= 0 && p.Weight <= 1e6, at+".weight", "%v is not 0 to 1,000,000", p.Weight)
 		c.must(p.Needed >= 0 && p.Needed <= max(1, len(asps)), at+".needed", "%d of %d processes", p.Needed, max(1, len(asps)))
 		set := m3ua.Settings{TAck: time.Duration(f.Timers.Ack), Beat: time.Duration(p.Heartbeat), ASPID: codes[f.Name]}
 		if p.RoutingContext != nil {
@@ -367,7 +372,8 @@
 		}
 		link += router.LinkID(len(asps))
 		out.Router.Peers = append(out.Router.Peers, router.Peer{Name: p.Name, Kind: kind, PointCode: p.PointCode,
-			Circuits: circuits, ASPs: slices.Repeat([]m3ua.Settings{set}, len(asps)), Mode: mode, Needed: p.Needed})
+			Circuits: circuits, ASPs: slices.Repeat([]m3ua.Settings{set}, len(asps)), Mode: mode, Needed: p.Needed,
+			Weight: p.Weight})
 	}
 	c.must(!accepts || f.Listen != "", "listen", "peers without dial connect to us, and there is no address for them")
 }
@@ -408,6 +414,9 @@
 	o.ColdFrom, o.ColdFor = r.ColdFrom, time.Duration(r.ColdFor)
 }
 
+// defaultConnections are enough for a thousand clients that all reconnect while their old connections linger.
+const defaultConnections = 4096
+
 // defaultTick is the margin of the module for batches: a goroutine hand-over and a write take less on any
 // machine that carries calls.
 const defaultTick = 5 * time.Millisecond
@@ -432,6 +441,9 @@
 	if out.QueueBytes == 0 {
 		out.QueueBytes = 1 << 20
 	}
+	c.must(f.Limits.Calls >= 0, "limits.calls", "%d is negative", f.Limits.Calls)
+	c.must(f.Limits.Connections >= 0, "limits.connections", "%d is negative", f.Limits.Connections)
+	out.Router.MaxCalls, out.Connections = f.Limits.Calls, cmp.Or(f.Limits.Connections, defaultConnections)
 	if out.MessageBytes == 0 {
 		out.MessageBytes = m3ua.DefaultMaxMessage
 	}
--- a/router/call.go
+++ b/router/call.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"finchlatch/ingress"
 	"finchlatch/isup"
 	"finchlatch/logic"
 	"finchlatch/trunk"
@@ -30,6 +31,8 @@
 	answered bool          // it stands
 	answer   *isup.Message // that told the caller so
 	last     isup.ReleaseInfo
+	admitted bool // it counts in its client's share
+	level    ingress.Level
 }
 
 // leg is a call's hold on circuits toward one side.
@@ -87,7 +90,7 @@
 // that end here, at the subscribers of this exchange, are not its matter.
 func (r *Router) offered(p *peer, s *trunk.Seizure, m *isup.Message) {
 	r.lastCall++
-	c := &call{id: r.lastCall, iam: keep(m), taken: r.now, transit: p.cfg.Kind == PeerExchange, class: -1}
+	c := &call{id: r.lastCall, iam: keep(m), taken: r.now - r.waited, transit: p.cfg.Kind == PeerExchange, class: -1}
 	c.in = &leg{call: c, peer: p, seizure: s}
 	s.Owner = c.in
 	c.setup, _ = m.Setup() // the group has refused what cannot be read
@@ -109,6 +112,8 @@
 		r.answer(c, Refused, isup.ReleaseInfo{Cause: isup.CauseCongestion, Location: local, Congestion: 2})
 	case !found:
 		r.answer(c, Failed, isup.ReleaseInfo{Cause: isup.CauseUnallocated, Location: local})
+	case !r.admit(c, p):
+		r.answer(c, Refused, isup.ReleaseInfo{Cause: isup.CauseCongestion, Location: local, Congestion: byte(c.level)})
 	case entry.Exchange == r.home.Number:
 		r.terminate(c)
 	case c.hops == 0:
@@ -133,10 +138,10 @@
 		Transit: c.transit, Number: c.setup.Called.Digits, TimeLeft: r.patience(c)})
 }
 
-// patience is how long the caller still waits, as far as the class and the IAM tell.
+// patience is how long the caller still waits, as far as the class, the IAM and the own queue tell.
 func (r *Router) patience(c *call) time.Duration {
 	class := r.cfg.Classes[max(0, c.class)]
-	return class.Patience - c.setup.Elapsed
+	return class.Patience - c.setup.Elapsed - (r.now - c.taken)
 }
 
 // terminate completes a call to a subscriber of this exchange.
@@ -192,6 +197,7 @@
 		return
 	}
 	c.answered = true
+	r.judged(c, true)
 	answer := keep(m)
 	if !c.acm && m.Type == isup.ANM { // an answer without address complete is a connect (Q.764 2.1.7)
 		params := answer.Params
@@ -335,6 +341,7 @@
 	if e.Kind == trunk.Released {
 		info = e.Message.Release()
 	}
+	r.leaves(c)
 	c.in = nil
 	if !c.answered {
 		r.emit(Answer{At: r.now, Call: c.id, Verdict: HungUp, Cause: info.Cause, Took: r.now - c.taken,
@@ -369,6 +376,9 @@
 	if c.in == nil || c.answered {
 		return
 	}
+	if v == Refused {
+		r.judged(c, false)
+	}
 	r.emit(Answer{At: r.now, Call: c.id, Verdict: v, Cause: info.Cause, Took: r.now - c.taken,
 		Transit: c.transit || !c.managed})
 	if r.debug() {
@@ -380,6 +390,7 @@
 // finish releases the caller's side and forgets the call.
 func (r *Router) finish(c *call, info isup.ReleaseInfo) {
 	if c.in != nil {
+		r.leaves(c)
 		c.in.peer.group.Release(r.now, c.in.seizure, info)
 		r.touch(c.in.peer)
 		c.in = nil
@@ -412,6 +423,13 @@
 	r.answer(c, Failed, info)
 }
 
+// judged tells the shares of the clients what the Controller made of a call that they let in.
+func (r *Router) judged(c *call, stands bool) {
+	if c.admitted && c.managed {
+		r.shares.Answered(r.now, stands)
+	}
+}
+
 func (r *Router) forget(c *call) { delete(r.calls, c.id) }
 
 // refusal is the REL of a refused call: congestion where a processor refused it, the number's own cause where
--- a/router/clients_test.go
+++ b/router/clients_test.go
@@ -117,6 +117,27 @@
 	}
 }
 
+// What a set-up waited in the process counts as its caller's patience: the answer comes that much earlier.
+func TestQueueCountsAsPatience(t *testing.T) {
+	n := newNet(t, 2, 4)
+	n.ends["b/lines"].on = nil
+	a, s := n.routers["a"], n.ends["a/counters"]
+	id, _ := a.Link("counters", 0)
+	m, _ := isup.NewSetup(1, isup.Setup{Called: isup.Number{Digits: "5521", Nature: 3, Plan: 1}, Category: 10, Width: 1, Hops: -1})
+	b, _ := m.Append(nil)
+	began := n.now
+	a.Apply(Input{At: n.now, Kind: InReceive, Link: id, Bytes: dataFrame(s, b), Waited: 2 * time.Second})
+	n.carry("a")
+	n.run(began + 900*time.Millisecond)
+	if got := n.heard("a", 1); len(got) > 0 {
+		t.Errorf("heard %v early", got)
+	}
+	n.run(began + time.Second)
+	if got := n.heard("a", 1); !slices.Equal(got, []isup.Type{isup.REL}) {
+		t.Errorf("heard %v when the caller's 3 s were over", got)
+	}
+}
+
 // A repeated IAM on a circuit is the same call; another one is a new call of a client that has lost its memory.
 func TestRepeatedSetUp(t *testing.T) {
 	n := newNet(t, 2, 4)
--- a/router/config.go
+++ b/router/config.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"time"
 
+	"finchlatch/ingress"
 	"finchlatch/logic"
 	"finchlatch/m3ua"
 	"finchlatch/numbering"
@@ -53,6 +54,7 @@
 	ASPs      []m3ua.Settings // its processes, one connection each; an exchange has one
 	Mode      m3ua.Mode       // how they share the traffic; 0: override
 	Needed    int             // of them active before traffic begins; 0: 1
+	Weight    float64         // of a client: its part of what clients share in an overload; 0: 1
 }
 
 // Config is what a Router is made of.
@@ -73,6 +75,7 @@
 	ColdFor    time.Duration
 	Timers     trunk.Timers
 	Recovery   time.Duration // T(r): a peer without an active association keeps its calls for this long
+	MaxCalls   int           // calls that one client may have at a time; 0: as many as it has circuits
 	Held       int           // messages kept for such a peer at most; 0: 4 for each circuit
 	Network    byte          // network indicator: 2 national
 	Hops       int           // hop counter of own calls; 0: 3
@@ -157,6 +160,20 @@
 	return nil
 }
 
+// ingress are the settings of the shares of the clients, in the order of Peers.
+func (c *Config) ingress() ingress.Settings {
+	s := ingress.Settings{MaxCalls: c.MaxCalls}
+	for _, p := range c.Peers {
+		if p.Kind == PeerClient {
+			s.Weights = append(s.Weights, p.Weight)
+		}
+	}
+	for _, k := range c.Classes {
+		s.TopWorth = max(s.TopWorth, k.Worth)
+	}
+	return s
+}
+
 // settings are the Controller's.
 func (c *Config) settings(host logic.Host, home int) logic.Settings {
 	s := logic.Settings{Host: host, Instances: c.Instances, Home: home, MaxAttempts: c.Attempts, CanCancel: true,
--- a/router/input.go
+++ b/router/input.go
@@ -15,7 +15,7 @@
 	InStart        InputKind = iota // List
 	InConnected                     // Link
 	InDisconnected                  // Link, Count: octets written
-	InReceive                       // Link, Bytes
+	InReceive                       // Link, Bytes, Waited
 	InAdvance                       // time has gone on
 	InList                          // ListKind, List
 	InDrain
@@ -34,6 +34,7 @@
 	Link     LinkID
 	Peer     PeerID
 	Bytes    []byte
+	Waited   time.Duration // how long the bytes waited in this process: the callers have waited as long
 	Count    int64
 	List     []logic.Office
 	ListKind logic.ListKind
@@ -51,7 +52,9 @@
 	case InDisconnected:
 		r.Disconnected(in.At, in.Link, in.Count)
 	case InReceive:
+		r.waited = max(0, in.Waited)
 		r.Receive(in.At, in.Link, in.Bytes)
+		r.waited = 0
 	case InAdvance:
 		r.Advance(in.At)
 	case InList:
--- a/router/peer.go
+++ b/router/peer.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"finchlatch/ingress"
 	"finchlatch/isup"
 	"finchlatch/logic"
 	"finchlatch/m3ua"
@@ -21,7 +22,9 @@
 	wake    time.Duration // the timer armed for the state machines; 0 none
 	began   bool          // the group has been reset since this Router was made
 	touched bool
-	leaving bool // it has said that it goes out of service
+	client  int           // its place among the clients
+	level   ingress.Level // that it was told by SCON
+	leaving bool          // it has said that it goes out of service
 	told    [2]int
 	held    []heldMessage // call messages for when it is back
 }
@@ -52,7 +55,13 @@
 	if err != nil {
 		return err
 	}
-	p := &peer{id: id, cfg: cfg, group: g, told: [2]int{-1, -1}, as: m3ua.NewAS(m3ua.ASSettings{Mode: cfg.Mode,
+	clients := 0
+	for _, q := range r.peers {
+		if q.cfg.Kind == PeerClient {
+			clients++
+		}
+	}
+	p := &peer{id: id, cfg: cfg, group: g, client: clients, told: [2]int{-1, -1}, as: m3ua.NewAS(m3ua.ASSettings{Mode: cfg.Mode,
 		ASPs: len(cfg.ASPs), Needed: cfg.Needed, Recovery: r.cfg.Recovery})}
 	for i, set := range cfg.ASPs {
 		set.Key = r.home.PointCode
@@ -120,6 +129,32 @@
 	}
 }
 
+// admit asks whether a call of a client is within its share, and tells the client when its level changes.
+func (r *Router) admit(c *call, p *peer) bool {
+	if p.cfg.Kind != PeerClient {
+		return true
+	}
+	worth := 0.0
+	if c.class >= 0 {
+		worth = r.cfg.Classes[c.class].Worth
+	}
+	ok, level := r.shares.Offer(r.now, p.client, worth)
+	c.admitted, c.level = ok, level
+	if level != p.level {
+		p.level = level
+		r.tell(p, m3ua.SCON, byte(level))
+	}
+	return ok
+}
+
+// leaves tells the shares that a client's call has ended.
+func (r *Router) leaves(c *call) {
+	if c.admitted {
+		c.admitted = false
+		r.shares.Ended(c.in.peer.client)
+	}
+}
+
 // reportGroup tells the Controller of the circuits toward an exchange when they have changed.
 func (r *Router) reportGroup(p *peer) {
 	now := [2]int{p.group.Spare(), p.group.Total()}
--- a/router/router.go
+++ b/router/router.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"finchlatch/ingress"
 	"finchlatch/isup"
 	"finchlatch/logic"
 	"finchlatch/m3ua"
@@ -27,6 +28,7 @@
 	calls      map[uint64]*call
 	lastCall   uint64
 	list       map[string]logic.Office
+	shares     *ingress.Controller // of the clients
 	timers     timers
 	seq        uint64
 	now        time.Duration
@@ -35,6 +37,7 @@
 	effects    []Effect
 	given      []Effect // handed out by the last call of Effects
 	scratch    []byte
+	waited     time.Duration // of the bytes that are being handled
 	draining   bool
 }
 
@@ -65,6 +68,7 @@
 			return nil, err
 		}
 	}
+	r.shares = ingress.New(cfg.ingress())
 	if r.ctl, err = logic.New(cfg.settings(host{r}, home.Number), seed); err != nil {
 		return nil, fmt.Errorf("router: %w", err)
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -356,14 +356,22 @@
 
 func (s *Server) accept() {
 	defer s.wg.Done()
+	places := make(chan struct{}, max(1, s.cfg.Connections))
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
 			return
 		}
+		select {
+		case places <- struct{}{}:
+		default:
+			s.refuse(conn, &m3ua.Fault{Code: m3ua.ErrBlocking, Text: "too many connections"})
+			continue
+		}
 		s.wg.Add(1)
 		go func() {
 			defer s.wg.Done()
+			defer func() { <-places }()
 			stopped := context.AfterFunc(s.context(), func() { conn.Close() })
 			id, first, err := s.identify(conn)
 			if !stopped() || err != nil {
@@ -381,6 +389,19 @@
 // context ends with the server.
 func (s *Server) context() context.Context { return stopContext{s.stop} }
 
+// reject tells a connection what is wrong with it.
+func reject(conn net.Conn, fault *m3ua.Fault) {
+	_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+	_, _ = conn.Write(m3ua.Reject(fault))
+}
+
+// refuse closes a connection that there is no place for.
+func (s *Server) refuse(conn net.Conn, fault *m3ua.Fault) {
+	s.log.Warn("connection refused", "from", conn.RemoteAddr().String(), "err", fault)
+	reject(conn, fault)
+	conn.Close()
+}
+
 // identify finds out which peer has connected, by the ASP identifier in its ASPUP.
 func (s *Server) identify(conn net.Conn) (router.LinkID, []byte, error) {
 	_ = conn.SetReadDeadline(time.Now().Add(identifyTime))
@@ -403,8 +424,7 @@
 			}
 			var fault *m3ua.Fault
 			if errors.As(err, &fault) {
-				_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
-				_, _ = conn.Write(m3ua.Reject(fault))
+				reject(conn, fault)
 			}
 			return 0, nil, err
 		}
@@ -495,9 +515,10 @@
 		buf := buffers.Get().(*[readSize]byte)
 		n, err := l.conn.Read(buf[:])
 		if n > 0 {
+			came := s.now()
 			ok := s.post(func(now time.Duration) {
 				if s.links[id] == l {
-					s.step(router.Input{At: now, Kind: router.InReceive, Link: id, Bytes: buf[:n]})
+					s.step(router.Input{At: now, Kind: router.InReceive, Link: id, Bytes: buf[:n], Waited: now - came})
 				}
 				buffers.Put(buf)
 			})
