--- /dev/null
+++ b/router/standing_test.go
@@ -0,0 +1,137 @@
+package router
+
+import (
+	"fmt"
+	"log/slog"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"finchlatch/isup"
+	"finchlatch/m3ua"
+)
+
+// groupSize is a large group, out of 3,968 circuits: 128 systems less their time slots 0.
+const groupSize = 3850
+
+// manyCircuits is a Router with groups toward clients and exchanges for 100,000 calls.
+func manyCircuits(b *testing.B) (r *Router, now time.Duration, near, far []*process) {
+	const groups = 26 // the same for all: the module's work on a group grows with its circuits, busy or not
+	cfg := testConfig(0, groups+1, 1)
+	cfg.LogLevel = slog.LevelError
+	var cics []uint16
+	for c := uint16(1); len(cics) < groupSize+100; c++ {
+		if c%32 != 0 {
+			cics = append(cics, c)
+		}
+	}
+	cfg.Peers = slices.DeleteFunc(cfg.Peers, func(p Peer) bool { return p.Kind == PeerClient })
+	for i := range cfg.Peers {
+		cfg.Peers[i].Circuits = cics
+	}
+	for i := range cfg.Numbering { // of one length: none is the beginning of another
+		cfg.Numbering[i].Prefix = fmt.Sprintf("55%03d", cfg.Numbering[i].Exchange)
+	}
+	for g := range groups {
+		cfg.Peers = append(cfg.Peers, Peer{Name: fmt.Sprintf("counters%d", g), Kind: PeerClient, PointCode: uint32(5000 + g),
+			Circuits: cics, ASPs: []m3ua.Settings{{Role: m3ua.RoleSGP, Beat: -1}}})
+	}
+	r, err := New(cfg, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	now = time.Hour
+	r.Start(now, nil)
+	t := &testing.T{}
+	for g := range groups {
+		far = append(far, newProcess(t, r, &now, exchangeName(g+1), 0, uint32(102+g), m3ua.RoleIPSPServer))
+		near = append(near, newProcess(t, r, &now, fmt.Sprintf("counters%d", g), 0, uint32(5000+g), m3ua.RoleASP))
+	}
+	for _, p := range append(slices.Clone(near), far...) {
+		p.up()
+		pump(r, p)
+	}
+	return r, now, near, far
+}
+
+// BenchmarkStanding is a whole call through a Router that holds others: its cost must not grow with them. It tells the
+// bytes that a standing call takes too.
+func BenchmarkStanding(b *testing.B) {
+	for _, calls := range []int{100, 10_000, 100_000} {
+		b.Run(fmt.Sprint(calls), func(b *testing.B) {
+			r, now, near, far := manyCircuits(b)
+			before := heapInUse()
+			for i := range calls {
+				if i%16 == 0 { // at a pace that the exchanges follow: one after another they are not taken for silent
+					now += time.Millisecond
+					r.Advance(now)
+				}
+				g := i / groupSize
+				oneCall(b, r, now, near[g], far[g], r.cfg.Peers[len(far)+1+g].Circuits[i%groupSize], false)
+			}
+			held, open := r.Held()
+			if held != calls || open != 0 {
+				b.Fatalf("%d calls held, %d without an answer, %d wanted", held, open, calls)
+			}
+			perCall := float64(heapInUse()-before) / float64(calls)
+			b.ReportAllocs()
+			for b.Loop() {
+				now += time.Millisecond
+				r.Advance(now)
+				oneCall(b, r, now, near[0], far[0], r.cfg.Peers[len(far)+1].Circuits[groupSize+1], true)
+			}
+			b.ReportMetric(perCall, "B/held")
+		})
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// oneCall sets a call up, and takes it down again where that is asked for.
+func oneCall(b *testing.B, r *Router, now time.Duration, near, far *process, cic uint16, down bool) {
+	frame := func(p *process, m *isup.Message) []byte {
+		raw, err := m.Append(nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return dataFrame(&end{own: p.own, far: 101}, raw)
+	}
+	number := fmt.Sprintf("55%03d1234", far.own-102+2)
+	set, err := isup.NewSetup(cic, isup.Setup{Called: isup.Number{Digits: number, Nature: 3, Plan: 1}, Category: 10, Width: 1, Hops: -1})
+	if err != nil {
+		b.Fatal(err)
+	}
+	r.Receive(now, near.id, frame(near, set))
+	out := uint16(0)
+	for _, e := range r.Effects() {
+		w, ok := e.(Write)
+		if !ok || w.Link != far.id {
+			continue
+		}
+		f := m3ua.Framer{}
+		f.Write(w.Bytes)
+		for raw, _ := f.Next(); raw != nil; raw, _ = f.Next() {
+			m, _ := m3ua.Decode(raw)
+			d, _ := m3ua.ReadProtocolData(m)
+			if i, err := isup.Decode(d.Data); err == nil && i.Type == isup.IAM {
+				out = i.CIC
+			}
+		}
+	}
+	if out == 0 {
+		b.Fatalf("no set-up toward %d at %v", far.own, now)
+	}
+	r.Receive(now, far.id, frame(far, isup.Simple(isup.ACM, out)))
+	r.Receive(now, far.id, frame(far, isup.Simple(isup.ANM, out)))
+	if down {
+		r.Receive(now, near.id, frame(near, isup.NewRelease(cic, isup.ReleaseInfo{Cause: 16})))
+		r.Receive(now, far.id, frame(far, isup.Simple(isup.RLC, out)))
+	}
+	r.Effects()
+}
--- a/trunk/group.go
+++ b/trunk/group.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -126,6 +127,7 @@
 	outGiven []*isup.Message // handed out by the last call of Output
 	events   []Event
 	evGiven  []Event // and by that of Events
+	free     [128]uint32 // usable circuits: a word for each 2,048 kbit/s system, a bit for each time slot
 	spare    int
 	total    int
 }
@@ -203,13 +205,14 @@
 }
 
 func (g *Group) recount() {
-	g.spare, g.total = 0, 0
+	g.spare, g.total, g.free = 0, 0, [128]uint32{}
 	for i := range g.circuits {
 		c := &g.circuits[i]
 		if !c.local.any() && !c.remote.any() {
 			g.total++
 			if c.state == Idle {
 				g.spare++
+				g.free[c.cic/32] |= 1 << (c.cic % 32)
 			}
 		}
 	}
@@ -226,6 +229,7 @@
 		} else {
 			g.spare--
 		}
+		g.free[c.cic/32] ^= 1 << (c.cic % 32)
 	}
 }
 
@@ -257,25 +261,28 @@
 	return m
 }
 
+// hunt finds the circuits for a call in one system, from the own end of the group. Its cost does not grow with the
+// circuits that are busy: it looks at whole systems.
 func (g *Group) hunt(width int) []int {
-	n := len(g.circuits)
-	var run []int
-	system := -1
-	for k := 0; k < n; k++ {
-		i := k
-		if g.set.Own > g.set.Peer {
-			i = n - 1 - k
+	for k := range g.free {
+		system, down := k, g.set.Own > g.set.Peer
+		if down {
+			system = len(g.free) - 1 - k
 		}
-		c := &g.circuits[i]
-		if s := int(c.cic / 32); s != system {
-			system, run = s, run[:0]
-		}
-		if !c.usable() {
+		word := g.free[system]
+		if bits.OnesCount32(word) < width {
 			continue
 		}
-		if run = append(run, i); len(run) == width {
-			return run
+		found := make([]int, 0, width)
+		for len(found) < width {
+			slot := bits.TrailingZeros32(word)
+			if down {
+				slot = 31 - bits.LeadingZeros32(word)
+			}
+			word &^= 1 << slot
+			found = append(found, g.index[uint16(system*32+slot)])
 		}
+		return found
 	}
 	return nil
 }
