--- a/router/net_test.go
+++ b/router/net_test.go
@@ -144,6 +144,8 @@
 		if m.Type == isup.GRS {
 			r, _ := m.RangeStatus()
 			s.send(isup.NewGroup(isup.GRA, m.CIC, 0, isup.Range{Range: r.Range}))
+		} else if m.Type == isup.RSC {
+			s.send(isup.Simple(isup.RLC, m.CIC))
 		} else if s.on != nil {
 			s.on(m)
 		}
