--- a/config/config.go
+++ b/config/config.go
@@ -141,10 +141,11 @@
 
 // Limits bound what a peer can make us keep.
 type Limits struct {
-	QueueBytes   int `json:"queue_bytes"`
-	MessageBytes int `json:"message_bytes"`
-	Calls        int `json:"calls"`       // of one client at a time; 0: as many as it has circuits
-	Connections  int `json:"connections"` // accepted ones, of all peers; 0: 4096
+	QueueBytes   int  `json:"queue_bytes"`
+	MessageBytes int  `json:"message_bytes"`
+	NoShares     bool `json:"no_shares"`   // clients take what they can in an overload
+	Calls        int  `json:"calls"`       // of one client at a time; 0: as many as it has circuits
+	Connections  int  `json:"connections"` // accepted ones, of all peers; 0: 4096
 }
 
 // Config is a checked configuration.
@@ -443,6 +444,7 @@
 	}
 	c.must(f.Limits.Calls >= 0, "limits.calls", "%d is negative", f.Limits.Calls)
 	c.must(f.Limits.Connections >= 0, "limits.connections", "%d is negative", f.Limits.Connections)
+	out.Router.NoShares = f.Limits.NoShares
 	out.Router.MaxCalls, out.Connections = f.Limits.Calls, cmp.Or(f.Limits.Connections, defaultConnections)
 	if out.MessageBytes == 0 {
 		out.MessageBytes = m3ua.DefaultMaxMessage
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -18,7 +18,8 @@
 	window    = 2 * time.Second // memory of the rates: a few hold times of set-ups, short beside a flood
 	period    = 200 * time.Millisecond
 	beginPart = 0.10 // shares apply when more than this part of the answers are refusals
-	endPart   = 0.03 // and no longer when fewer than this are
+	mostPart  = 0.06 // while shares apply, less is let in when more than this part are, and more when fewer than half
+	endPart   = 0.03 // shares apply no longer when fewer than this are, and nobody is over its share
 	grow      = 1.04 // what is let in while few are refused, for each period: 22% a second, so that room is found
 	shrink    = 0.97 // and while many are: 14% a second, never under what is carried
 	burst     = 500 * time.Millisecond
@@ -42,6 +43,7 @@
 // Settings of a Controller.
 type Settings struct {
 	Weights  []float64 // of the clients: their parts of what is shared; 0 counts as 1
+	Alone    bool      // no shares: only MaxCalls counts
 	MaxCalls int       // calls that one client may have held; 0: no limit
 	TopWorth float64   // worth of the worthiest class
 }
@@ -110,7 +112,7 @@
 	if c.set.MaxCalls > 0 && k.held >= c.set.MaxCalls {
 		return false, FarOver
 	}
-	if c.sharing && !k.take(now, worth >= c.set.TopWorth) {
+	if c.sharing && k.level != Clear && !k.take(now, worth >= c.set.TopWorth) {
 		return false, max(k.level, Over)
 	}
 	k.held++
@@ -170,15 +172,15 @@
 		part = refused / (carried + refused)
 	}
 	switch {
-	case len(c.clients) < 2: // nobody to share with: the module alone decides
+	case len(c.clients) < 2 || c.set.Alone: // nobody to share with: the module alone decides
 	case !c.sharing && part > beginPart:
 		c.sharing, c.let = true, carried
 		for i := range c.clients {
 			c.clients[i].tokens, c.clients[i].at = 0, now
 		}
-	case c.sharing && part > beginPart:
+	case c.sharing && part > mostPart:
 		c.let = math.Max(carried, c.let*shrink)
-	case c.sharing && part < beginPart/2:
+	case c.sharing && part < mostPart/2:
 		c.let *= grow
 	}
 	offered := 0.0
--- a/router/config.go
+++ b/router/config.go
@@ -75,6 +75,7 @@
 	ColdFor    time.Duration
 	Timers     trunk.Timers
 	Recovery   time.Duration // T(r): a peer without an active association keeps its calls for this long
+	NoShares   bool          // clients take what they can in an overload
 	MaxCalls   int           // calls that one client may have at a time; 0: as many as it has circuits
 	Held       int           // messages kept for such a peer at most; 0: 4 for each circuit
 	Network    byte          // network indicator: 2 national
@@ -165,6 +166,7 @@
 	s := ingress.Settings{MaxCalls: c.MaxCalls}
 	for _, p := range c.Peers {
 		if p.Kind == PeerClient {
+			s.Alone = c.NoShares
 			s.Weights = append(s.Weights, p.Weight)
 		}
 	}
--- a/router/net_test.go
+++ b/router/net_test.go
@@ -158,9 +158,11 @@
 
 // testConfig is one of count exchanges "a", "b", ... with circuits in each group.
 func testConfig(me, count, circuits int) Config {
-	cics := make([]uint16, circuits)
-	for i := range cics {
-		cics[i] = uint16(i + 1)
+	var cics []uint16
+	for c := uint16(1); len(cics) < circuits; c++ {
+		if c%32 != 0 {
+			cics = append(cics, c)
+		}
 	}
 	many := make([]uint16, 31)
 	for i := range many {
