--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -74,6 +74,7 @@
 		"mass_cut": {Part: 0.5}, "silence": {Part: 0.25}, "hang": {Part: 0.25}, "replace": {Part: 0.25}, "unit": {},
 		"restart": {Part: 0.5}, "stall": {Part: 0.5, Size: 0.4}, "slow": {Size: 2.5}, "ageing": {Part: 0.25, Size: 8},
 		"late_list": {Size: 1}, "flap": {Part: 0.5}, "give_up": {Size: 0.3}, "client_flap": {Part: 0.5},
+		"late_answer": {Part: 0.5, Size: 1.49},
 	}
 	plays := map[string][]Step{}
 	for kind := range kinds {
@@ -135,6 +136,21 @@
 	}
 }
 
+// TestClientsInAnOverload is the short form of a minute at 40 exchanges and 350 calls a second: 115% of the plan, with
+// lost connections of clients and exchanges, and answers that come about when callers give up.
+func TestClientsInAnOverload(t *testing.T) {
+	t.Parallel()
+	f := quickFleet(t, 8, func(s *FleetSettings) { s.Exchanges, s.Rate = 10, 100 })
+	r := judged(t, f, steps(6, Step{At: seconds(0.5), Kind: "jump", Len: seconds(5), Size: 1.15},
+		Step{At: seconds(1), Kind: "client_flap", Part: 0.5},
+		Step{At: seconds(1.5), Kind: "late_answer", Len: seconds(3), Part: 0.3, Size: 1.48},
+		Step{At: seconds(2), Kind: "flap", Part: 0.2}, Step{At: seconds(3), Kind: "client_flap", Part: 0.5},
+		Step{At: seconds(3.5), Kind: "flap", Part: 0.2}, Step{At: seconds(4), Kind: "hang", Len: seconds(1), Part: 0.2}))
+	if r.Verdict.Calls < 800 || r.Verdict.Answers > r.Verdict.Calls || r.Verdict.Answers < r.Verdict.Calls*8/10 {
+		t.Errorf("%d calls taken, %d answers", r.Verdict.Calls, r.Verdict.Answers)
+	}
+}
+
 // TestPlantedBreachOnSockets: call servers that are told to wait only 1 ms after a failed attempt break rule 5, and
 // the taps show it.
 func TestPlantedBreachOnSockets(t *testing.T) {
--- a/internal/standin/script.go
+++ b/internal/standin/script.go
@@ -52,9 +52,11 @@
 	"region_loss": {"groups between region and the others keep 1-part of their circuits", 0, 0,
 		func(d *day, s Step, _ []*Node) { d.circuits(s, "block") },
 		func(d *day, s Step, _ []*Node) { d.circuits(s, "unblock") }},
-	"mass_cut":    {"part of the standing calls are cut", 0, 0, (*day).cut, nil},
-	"silence":     {"processors of part of the exchanges go silent and come back cold", 0, 0, (*day).silence, (*day).awake},
-	"hang":        {"processors take set-ups and answer none", 0, 0, (*day).hang, (*day).unhang},
+	"mass_cut": {"part of the standing calls are cut", 0, 0, (*day).cut, nil},
+	"silence":  {"processors of part of the exchanges go silent and come back cold", 0, 0, (*day).silence, (*day).awake},
+	"hang":     {"processors take set-ups and answer none", 0, 0, (*day).hang, (*day).unhang},
+	"late_answer": {"lines of part of the exchanges answer size seconds later", 0, 10, (*day).lateAnswer,
+		func(d *day, s Step, struck []*Node) { d.lateAnswer(Step{}, struck) }},
 	"replace":     {"new processors take the place of the old ones, one exchange after the other", 0, 0, (*day).replace, nil},
 	"unit":        {"all exchanges that share a unit restart at once and come back cold", 0, 0, (*day).unit, nil},
 	"restart":     {"call servers of part of the exchanges restart, with nothing but their last list", 0, 0, (*day).restart, nil},
@@ -176,7 +178,7 @@
 	if i := slices.IndexFunc(d.f.Nodes, func(n *Node) bool { return n.Name == s.Exchange }); i >= 0 {
 		return d.f.Nodes[i : i+1]
 	}
-	if !slices.Contains([]string{"flood", "silence", "hang", "replace", "restart", "stall", "ageing", "client_flap"}, s.Kind) {
+	if !slices.Contains([]string{"flood", "silence", "hang", "replace", "restart", "stall", "ageing", "client_flap", "late_answer"}, s.Kind) {
 		return nil
 	}
 	count := max(1, int(math.Round(s.Part*float64(len(d.f.Nodes)))))
@@ -265,6 +267,12 @@
 	}()
 }
 
+func (d *day) lateAnswer(s Step, struck []*Node) {
+	for _, n := range struck {
+		n.Lines.Do(func() { n.Lines.Late = time.Duration(s.Size * float64(time.Second)) })
+	}
+}
+
 // downTime is how long a restart takes.
 const downTime = 700 * time.Millisecond
 
--- a/internal/standin/subscribers.go
+++ b/internal/standin/subscribers.go
@@ -13,6 +13,7 @@
 type Subscribers struct {
 	*Endpoint
 	Ring  time.Duration  // from the set-up to the answer, on average
+	Late  time.Duration  // added to it now
 	Lines map[string]int // numbers with few lines; others have enough
 	Fault float64        // share of calls that fail with a cause of signalling
 
@@ -77,7 +78,7 @@
 	s.call[m.CIC] = n.Digits
 	_ = e.Send(isup.Simple(isup.ACM, m.CIC))
 	cic := m.CIC
-	time.AfterFunc(time.Duration((0.5+s.rng.Float64())*float64(s.Ring)), func() {
+	time.AfterFunc(s.Late+time.Duration((0.5+s.rng.Float64())*float64(s.Ring)), func() {
 		e.Do(func() {
 			if s.call[cic] == n.Digits {
 				_ = e.Send(isup.Simple(isup.ANM, cic))
