--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -32,6 +32,7 @@
 	Habits    Habits
 	Release   time.Duration // rule 5 as the call servers are told it; for planting breaches
 	Log       *slog.Logger
+	Baseline  func(s logic.Settings, seed int64) (router.Policy, error) // in place of the module, to compare with
 }
 
 // DefaultClasses are a common and a rare, wide and worthy class.
@@ -264,6 +265,7 @@
 	if err != nil {
 		return nil, err
 	}
+	cfg.Router.Baseline = f.Set.Baseline
 	cfg.Router.Release = f.Set.Release // below what config allows only where a test plants a breach
 	return cfg, nil
 }
--- /dev/null
+++ b/internal/standin/overload_test.go
@@ -0,0 +1,47 @@
+package standin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"finchlatch/logic"
+	"finchlatch/router"
+)
+
+// BenchmarkOverload offers 80% to 200% of the plan to a fleet of 8 call servers on sockets for some seconds, with the
+// module, with a policy that admits all, and with a plain limit on the calls that wait. Processors are stand-ins.
+func BenchmarkOverload(b *testing.B) {
+	policies := []struct {
+		name string
+		make func(logic.Settings, int64) (router.Policy, error)
+	}{{"module", nil}, {"admit-all", AdmitAll}, {"at-most-8", AtMost(8)}}
+	for _, load := range []float64{0.8, 1, 1.2, 1.5, 2} {
+		for _, p := range policies {
+			b.Run(fmt.Sprintf("%s/%.0f%%", p.name, 100*load), func(b *testing.B) {
+				b.ReportMetric(0, "ns/op")
+				for b.Loop() {
+					f, err := NewFleet(FleetSettings{Exchanges: 8, Regions: 2, Rate: 80, Seed: 3, Classes: DefaultClasses(),
+						Habits: DefaultHabits(), Baseline: p.make})
+					if err != nil {
+						b.Fatal(err)
+					}
+					day := steps(12)
+					if load != 1 {
+						day = steps(12, Step{Kind: "jump", Len: seconds(12), Size: max(load, 0.05)})
+					}
+					f.Play(day, nil)
+					r := f.Report(12 * time.Second)
+					f.Close()
+					worst := time.Duration(0)
+					for _, c := range r.Classes {
+						worst = max(worst, time.Duration(c.SetUp.ValueAtQuantile(99))*time.Microsecond)
+					}
+					b.ReportMetric(r.Service(), "service")
+					b.ReportMetric(worst.Seconds(), "p99-s")
+					b.ReportMetric(float64(len(r.Verdict.Breaches)), "breaches")
+				}
+			})
+		}
+	}
+}
--- a/router/config.go
+++ b/router/config.go
@@ -74,13 +74,14 @@
 	ColdFrom   float64
 	ColdFor    time.Duration
 	Timers     trunk.Timers
-	Recovery   time.Duration // T(r): a peer without an active association keeps its calls for this long
-	NoShares   bool          // clients take what they can in an overload
-	MaxCalls   int           // calls that one client may have at a time; 0: as many as it has circuits
-	Held       int           // messages kept for such a peer at most; 0: 4 for each circuit
-	Network    byte          // network indicator: 2 national
-	Hops       int           // hop counter of own calls; 0: 3
-	LogLevel   slog.Level    // least level of Log effects; the zero level is info
+	Recovery   time.Duration                                      // T(r): a peer without an active association keeps its calls for this long
+	NoShares   bool                                               // clients take what they can in an overload
+	MaxCalls   int                                                // calls that one client may have at a time; 0: as many as it has circuits
+	Held       int                                                // messages kept for such a peer at most; 0: 4 for each circuit
+	Network    byte                                               // network indicator: 2 national
+	Hops       int                                                // hop counter of own calls; 0: 3
+	Baseline   func(s logic.Settings, seed int64) (Policy, error) // in place of the module, for comparisons only
+	LogLevel   slog.Level                                         // least level of Log effects; the zero level is info
 }
 
 // DefaultRecovery is how long a lost association keeps its calls: T(r) of RFC 4666 is 2 s, and a counter client
--- a/router/router.go
+++ b/router/router.go
@@ -18,7 +18,7 @@
 type Router struct {
 	cfg        Config
 	home       Exchange
-	ctl        *logic.Controller
+	ctl        Policy // the Controller of package logic
 	table      *numbering.Table
 	categories numbering.Categories
 	peers      []*peer
@@ -69,7 +69,7 @@
 		}
 	}
 	r.shares = ingress.New(cfg.ingress())
-	if r.ctl, err = logic.New(cfg.settings(host{r}, home.Number), seed); err != nil {
+	if r.ctl, err = cfg.newPolicy(cfg.settings(host{r}, home.Number), seed); err != nil {
 		return nil, fmt.Errorf("router: %w", err)
 	}
 	return r, nil
--- a/server/relay_test.go
+++ b/server/relay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"log/slog"
 	"net"
 	"strings"
 	"testing"
@@ -10,7 +9,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"finchlatch/config"
 	"finchlatch/isup"
 	"finchlatch/m3ua"
 )
@@ -87,18 +85,7 @@
 	counter, exchange := &endpoint{own: 2001, far: 101}, &endpoint{own: 102, far: 101}
 	if daemon {
 		text := strings.ReplaceAll(strings.ReplaceAll(settings, "count: 4 ", "count: 186 "), "count: 31 ", "count: 186 ")
-		cfg, err := config.Evaluate("bench.jsonnet", text, nil)
-		if err != nil {
-			b.Fatal(err)
-		}
-		s, err := New(cfg, slog.New(slog.DiscardHandler))
-		if err != nil {
-			b.Fatal(err)
-		}
-		if err := s.Start(); err != nil {
-			b.Fatal(err)
-		}
-		b.Cleanup(s.Kill)
+		s := startWith(b, text)
 		far, near := benchDial(b, s, 102, "b"), benchDial(b, s, 2001, "counters")
 		exchange.conn, counter.conn = far, near
 	} else {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -34,9 +34,12 @@
   timers: { t1: '300ms', t5: '3s', t12: '300ms', t13: '3s' },
 }`
 
-func start(t *testing.T) *Server {
+func start(t *testing.T) *Server { return startWith(t, settings) }
+
+// startWith runs a server on settings of its own.
+func startWith(t testing.TB, text string) *Server {
 	t.Helper()
-	cfg, err := config.Evaluate("test.jsonnet", settings, nil)
+	cfg, err := config.Evaluate("test.jsonnet", text, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/server/storm_test.go
+++ b/server/storm_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"net"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"finchlatch/config"
 	"finchlatch/m3ua"
 	"finchlatch/router"
 )
@@ -45,19 +43,7 @@
 	for i := range stormClients {
 		fmt.Fprintf(&peers, "{ name: 'c%d', kind: 'client', point_code: %d, circuits: { first: 1, count: 2 } },\n", i, 3000+i)
 	}
-	text := strings.Replace(settings, "{ name: 'counters'", peers.String()+"{ name: 'counters'", 1)
-	cfg, err := config.Evaluate("storm.jsonnet", text, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := New(cfg, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := s.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Kill)
+	s := startWith(t, strings.Replace(settings, "{ name: 'counters'", peers.String()+"{ name: 'counters'", 1))
 	for round := range 2 {
 		conns := make([]net.Conn, stormClients)
 		var all sync.WaitGroup
@@ -95,18 +81,7 @@
 
 // TestTooManyConnections: over the cap a connection gets the refusal that the RFC names.
 func TestTooManyConnections(t *testing.T) {
-	cfg, err := config.Evaluate("cap.jsonnet", strings.Replace(settings, "queue_bytes: 65536", "connections: 1", 1), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := New(cfg, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := s.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Kill)
+	s := startWith(t, strings.Replace(settings, "queue_bytes: 65536", "connections: 1", 1))
 	dial(t, s, 2001)
 	conn, err := net.Dial("tcp", s.Addr().String())
 	if err != nil {
