ENUM over UDP and TCP in the daemon, settings for askers

The front's shell: the DNS library's servers on one port, each query answered on its own goroutine, questions and replies on the Router's. A look-up over UDP and TCP is taken over by a set-up on sockets.

--- a/config/config.go
+++ b/config/config.go
@@ -10,12 +10,14 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/google/go-jsonnet"
 
+	"finchlatch/enum"
 	"finchlatch/logic"
 	"finchlatch/m3ua"
 	"finchlatch/numbering"
@@ -53,6 +55,26 @@
 	Rules     Rules      `json:"rules"`
 	Timers    Timers     `json:"timers"`
 	Limits    Limits     `json:"limits"`
+	Enum      *Enum      `json:"enum"` // look-ups; absent: none
+}
+
+// Enum is the front for look-ups over DNS.
+type Enum struct {
+	Listen  string  `json:"listen"`  // address, UDP and TCP
+	Suffix  string  `json:"suffix"`  // domain of the numbers; empty: e164.arpa.
+	Routing string  `json:"routing"` // digits that routing numbers begin with
+	Lease   Span    `json:"lease"`   // how long circuits are kept for the set-up that follows; 0: a fifth of the shortest aim
+	Within  Span    `json:"within"`  // a query is answered within it; 0: 1s
+	Answers float64 `json:"answers"` // a second to one network over UDP without a cookie; 0: 100
+	Secret  string  `json:"secret"`  // of the cookies
+	Askers  []struct {
+		Name     string   `json:"name"`
+		Networks []string `json:"networks"`
+		Client   string   `json:"client"` // peer that its set-ups come from
+		Class    string   `json:"class"`
+		Rate     float64  `json:"rate"`   // questions a second; 0: 200
+		Leases   int      `json:"leases"` // at a time; 0: 100
+	} `json:"askers"`
 }
 
 // Exchange is an exchange of the fleet.
@@ -160,6 +182,8 @@
 	QueueBytes   int
 	MessageBytes int
 	Connections  int
+	EnumListen   string // empty: no look-ups
+	Enum         enum.Settings
 }
 
 // Fault is one thing that is wrong.
@@ -266,6 +290,7 @@
 	f.numbers(c, out, numbers, classes)
 	f.rules(c, out)
 	f.limits(c, out)
+	f.enum(c, out, classes)
 	if len(c.faults) == 0 {
 		// The Router's own check sees what only shows in combination.
 		if err := out.Router.Check(); err != nil {
@@ -398,6 +423,40 @@
 	}
 }
 
+func (f *File) enum(c *checker, out *Config, classes map[string]int) {
+	e := f.Enum
+	if e == nil {
+		return
+	}
+	c.address("enum.listen", e.Listen, true)
+	c.must(strings.Trim(e.Routing, "0123456789") == "" && e.Routing != "", "enum.routing", "%q is not digits", e.Routing)
+	out.EnumListen = e.Listen
+	o := &out.Router
+	o.Routing, o.Lease, o.AskWithin = e.Routing, time.Duration(e.Lease), cmp.Or(time.Duration(e.Within), time.Second)
+	if o.Lease == 0 && len(f.Classes) > 0 {
+		o.Lease = time.Hour
+		for _, k := range f.Classes {
+			o.Lease = min(o.Lease, time.Duration(k.Aim)/5)
+		}
+	}
+	out.Enum = enum.Settings{Suffix: e.Suffix, Answers: e.Answers, Secret: []byte(e.Secret)}
+	for i, a := range e.Askers {
+		at := fmt.Sprintf("enum.askers[%d]", i)
+		class, ok := classes[a.Class]
+		c.must(ok, at+".class", "%q is not among the classes", a.Class)
+		c.must(a.Name != "", at+".name", "is empty")
+		c.must(a.Rate >= 0 && a.Leases >= 0, at, "rate and leases must not be negative")
+		asker := enum.Asker{Name: a.Name, Rate: a.Rate}
+		for k, n := range a.Networks {
+			p, err := netip.ParsePrefix(n)
+			c.must(err == nil, fmt.Sprintf("%s.networks[%d]", at, k), "%q is no network such as \"127.0.0.0/8\"", n)
+			asker.Networks = append(asker.Networks, p)
+		}
+		out.Enum.Askers = append(out.Enum.Askers, asker)
+		o.Askers = append(o.Askers, router.Asker{Name: a.Name, Client: a.Client, Class: class, Leases: a.Leases})
+	}
+}
+
 // ruleRelease is the shortest wait that rule 5 allows after a failed attempt.
 const ruleRelease = 200 * time.Millisecond
 
--- a/router/effects.go
+++ b/router/effects.go
@@ -95,6 +95,10 @@
 	Until    time.Duration
 }
 
+// Taken tells that the set-up of a granted question has come.
+type Taken struct{ Ask uint64 }
+
+func (Taken) effect()    {}
 func (Reply) effect()    {}
 func (Write) effect()    {}
 func (Close) effect()    {}
--- a/router/lease.go
+++ b/router/lease.go
@@ -171,6 +171,7 @@
 	c.setup.Elapsed = set.Elapsed
 	c.in = &leg{call: c, peer: p, seizure: s}
 	s.Owner = c.in
+	r.emit(Taken{Ask: c.lease.ask})
 	admitted := c.admitted
 	c.admitted = false // it goes on counting, by its in leg
 	r.dropLease(c)
--- a/server/server.go
+++ b/server/server.go
@@ -13,7 +13,10 @@
 	"sync"
 	"time"
 
+	"github.com/miekg/dns"
+
 	"finchlatch/config"
+	"finchlatch/enum"
 	"finchlatch/logic"
 	"finchlatch/m3ua"
 	"finchlatch/router"
@@ -35,6 +38,8 @@
 	console  net.Listener
 	list     []logic.Office
 	answers  [4]uint64
+	front    *enum.Front // nil: no look-ups
+	dns      [2]*dns.Server
 	watch    func(in router.Input)
 	effects  func(e []router.Effect)
 }
@@ -107,6 +112,10 @@
 		s.wg.Add(1)
 		go s.acceptConsole()
 	}
+	if err := s.startEnum(); err != nil {
+		s.Kill()
+		return err
+	}
 	for id, addr := range s.cfg.Dial {
 		s.wg.Add(1)
 		go s.dial(id, addr)
@@ -213,6 +222,7 @@
 	s.stopOnce.Do(func() { close(s.stop) })
 	_ = closeListener(s.listener)
 	_ = closeListener(s.console)
+	s.stopEnum()
 	<-s.done
 	s.wg.Wait()
 }
@@ -329,6 +339,10 @@
 			if !e.Transit {
 				s.answers[e.Verdict]++
 			}
+		case router.Reply:
+			s.deliver(s.front.Reply(s.now(), e))
+		case router.Taken:
+			s.front.End(e.Ask)
 		}
 	}
 }
