--- a/cmd/finchlatch/try.go
+++ b/cmd/finchlatch/try.go
@@ -45,6 +45,7 @@
 	c.Flags().Uint64Var(&set.Seed, "seed", 1, "seed of callers, draws and troubles")
 	c.Flags().Float64Var(&set.Rate, "rate", 120, "first tries a second, of all callers together")
 	c.Flags().IntVar(&set.Exchanges, "exchanges", 12, "exchanges, each with its own call server")
+	c.Flags().Float64Var(&set.Asks, "asks", 0, "share of the tries that ask by ENUM first, 0 to 1")
 	c.Flags().IntVar(&set.Regions, "regions", 2, "regions that the exchanges lie in")
 	c.Flags().BoolVar(&trace, "trace", false, "on a broken rule, list what passed on the circuits of the first call concerned")
 	c.Flags().StringVar(&level, "log", "error", "least level of the call servers' log lines")
--- a/internal/rulecheck/rulecheck.go
+++ b/internal/rulecheck/rulecheck.go
@@ -21,6 +21,8 @@
 	Started             // the processor of Exchange started cold, with Capacity set-ups a second when warm
 	Killed              // the call server of Exchange ended without a drain
 	Lost                // the connection of Exchange with Peer ended
+	Asked               // the asker Peer sent Exchange a look-up: Data is a DNS message
+	Replied             // and got this answer
 )
 
 // State is what a call server is told of an exchange.
@@ -58,6 +60,7 @@
 	ColdFrom   float64
 	ColdFor    time.Duration
 	Slack      time.Duration // rule 1: an answer may be that much late at the tap
+	AskWithin  time.Duration // a look-up is answered within it
 	Skew       time.Duration // records of two sockets may be in the wrong order by that much
 }
 
@@ -84,6 +87,8 @@
 	Dual     int // dual seizures
 	Unread   int // messages that could not be read
 	Cold     int // cold starts watched
+	LookUps  int
+	Leases   int // look-ups that were granted a routing number
 }
 
 // Recorder collects records. It is safe for concurrent use.
@@ -110,7 +115,8 @@
 
 // Check judges records in the order of time. end is when the run ended: calls that still had time are left out.
 func Check(f Figures, records []Record, end time.Duration) Verdict {
-	c := &checker{f: f, servers: map[string]*server{}, cold: map[string]*coldStart{}}
+	c := &checker{f: f, servers: map[string]*server{}, cold: map[string]*coldStart{}, lookups: lookups{}, routings: map[string]*lookUp{},
+		killed: map[string]time.Duration{}}
 	for _, r := range records {
 		c.take(r)
 	}
@@ -124,6 +130,10 @@
 	v       Verdict
 	servers map[string]*server
 	cold    map[string]*coldStart
+	lookups lookups
+	// the last look-up that a routing number was granted to, and the last kill of a call server
+	routings map[string]*lookUp
+	killed   map[string]time.Duration
 }
 
 // server is what the checker knows of one call server.
@@ -214,9 +224,13 @@
 		c.cold[r.Exchange] = &coldStart{at: r.At, capacity: r.Capacity}
 	case Killed:
 		// What it held is the callers' to try again.
+		c.lookups.forget(r.Exchange)
+		c.killed[r.Exchange] = r.At
 		s.links, s.calls, s.told = map[string]*link{}, map[string]*call{}, map[string]told{}
 	case Lost:
 		c.linkLost(s, r)
+	case Asked, Replied:
+		c.lookUp(s, r)
 	}
 }
 
@@ -250,6 +264,7 @@
 		names = append(names, n)
 	}
 	slices.Sort(names)
+	c.closeLookUps(end)
 	for _, n := range names {
 		s := c.servers[n]
 		for _, k := range s.calls {
--- a/internal/rulecheck/rulecheck_test.go
+++ b/internal/rulecheck/rulecheck_test.go
@@ -5,13 +5,15 @@
 	"testing"
 	"time"
 
+	"github.com/miekg/dns"
+
 	"finchlatch/isup"
 	"finchlatch/m3ua"
 )
 
 var figures = Figures{Patience: map[byte]time.Duration{10: 3 * time.Second}, PointCodes: map[string]uint32{"a": 101, "b": 102, "c": 103},
 	Grace: time.Second, Release: 200 * time.Millisecond, TipAfter: 3 * time.Second, Overload: 2, ColdFrom: 0.3,
-	ColdFor: 12 * time.Second, Slack: 50 * time.Millisecond, Skew: 10 * time.Millisecond}
+	ColdFor: 12 * time.Second, AskWithin: time.Second, Slack: 50 * time.Millisecond, Skew: 10 * time.Millisecond}
 
 // tape makes records as taps would: real M3UA and ISUP.
 type tape struct {
@@ -47,6 +49,22 @@
 	p.message(ms, at, peer, out, isup.Simple(t, cic))
 }
 
+// lookUp is a look-up for a number, or its answer with a routing number.
+func (p *tape) lookUp(ms int, kind Kind, number string, id uint16, routing string) {
+	m := new(dns.Msg).SetQuestion(number+".e164.arpa.", dns.TypeNAPTR)
+	if m.Id = id; kind == Replied {
+		q := *m
+		m = new(dns.Msg).SetReply(&q)
+		m.Answer = []dns.RR{&dns.NAPTR{Hdr: dns.RR_Header{Name: number + ".e164.arpa.", Rrtype: dns.TypeNAPTR, Class: dns.ClassINET},
+			Regexp: "!^.*$!tel:+5;npdi;rn=+" + routing + "!", Replacement: "."}}
+	}
+	b, err := m.Pack()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.records = append(p.records, Record{At: time.Duration(ms) * time.Millisecond, Kind: kind, Exchange: "a", Peer: "asker", Data: b})
+}
+
 func (p *tape) rel(ms int, at, peer string, out bool, cic uint16, cause isup.Cause) {
 	p.message(ms, at, peer, out, isup.NewRelease(cic, isup.ReleaseInfo{Cause: cause}))
 }
@@ -194,6 +212,28 @@
 			p.rel(50, "a", "b", false, 5, 34)
 			p.rel(60, "a", "counters", true, 1, 34)
 		}},
+		{"look-ups answered, one of them twice alike", 0, func(p *tape) {
+			p.lookUp(0, Asked, "1.5", 1, "")
+			p.lookUp(10, Asked, "1.5", 1, "")
+			p.lookUp(20, Replied, "1.5", 1, "99001")
+			p.lookUp(21, Replied, "1.5", 1, "99001")
+		}},
+		{"a look-up without an answer", 1, func(p *tape) { p.lookUp(0, Asked, "1.5", 1, "") }},
+		{"a look-up answered late", 1, func(p *tape) {
+			p.lookUp(0, Asked, "1.5", 1, "")
+			p.lookUp(1500, Replied, "1.5", 1, "99001")
+		}},
+		{"a look-up answered in two ways", 1, func(p *tape) {
+			p.lookUp(0, Asked, "1.5", 1, "")
+			p.lookUp(20, Replied, "1.5", 1, "99001")
+			p.lookUp(30, Replied, "1.5", 1, "99002")
+		}},
+		{"one routing number for two calls", 2, func(p *tape) {
+			p.lookUp(0, Asked, "1.5", 1, "")
+			p.lookUp(1, Asked, "2.5", 2, "")
+			p.lookUp(20, Replied, "1.5", 1, "99001")
+			p.lookUp(30, Replied, "2.5", 2, "99001")
+		}},
 		{"what a killed call server held", 0, func(p *tape) {
 			p.iam(0, "a", "counters", false, 1, 1, 1)
 			p.records = append(p.records, Record{At: 50 * time.Millisecond, Kind: Killed, Exchange: "a"})
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"finchlatch/internal/rulecheck"
 	"finchlatch/isup"
 	"finchlatch/m3ua"
 )
@@ -56,7 +57,10 @@
 	Habits Habits
 	Done   func(Outcome) // called for each caller at the end, one at a time
 	Pick   func(rng *rand.Rand) (number string, hot bool)
-	Hurry  float64 // share of their patience that callers wait now; 0: all of it
+	Asks   float64                                            // share of the tries that ask by ENUM first where the call goes
+	Where  func() string                                      // address for look-ups
+	Tap    func(kind rulecheck.Kind, who string, data []byte) // of look-ups
+	Hurry  float64                                            // share of their patience that callers wait now; 0: all of it
 
 	id    uint32
 	clock func() time.Duration
@@ -183,8 +187,29 @@
 	c.dial(&caller{Outcome: Outcome{Class: class, Began: c.clock()}, number: number})
 }
 
-// dial makes one try.
+// dial makes one try: a set-up at once, or a look-up first.
 func (c *Callers) dial(k *caller) {
+	if c.Where == nil || c.rng.Float64() >= c.Asks {
+		c.setUp(k, k.number)
+		return
+	}
+	where, category := c.Where(), c.Mix[k.Class].Category
+	go func() {
+		routing := c.lookUp(where, category, k.number)
+		c.Do(func() {
+			if routing != "" {
+				c.setUp(k, routing)
+				return
+			}
+			k.Tries++
+			k.Refused++
+			c.again(k, false)
+		})
+	}()
+}
+
+// setUp offers a call to a number.
+func (c *Callers) setUp(k *caller, number string) {
 	class := c.Mix[k.Class]
 	cics := c.seize(class.Width)
 	if cics == nil {
@@ -201,7 +226,7 @@
 			slots |= 1 << (x%32 - 1)
 		}
 	}
-	m, err := isup.NewSetup(cics[0], isup.Setup{Called: isup.Number{Digits: k.number, Nature: 3, Plan: 1},
+	m, err := isup.NewSetup(cics[0], isup.Setup{Called: isup.Number{Digits: number, Nature: 3, Plan: 1},
 		Category: class.Category, Width: class.Width, Map: slots, Hops: -1})
 	if err == nil {
 		m.Set(isup.ParamCallingNumber, callingNumber(c.id, c.next)...)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -30,6 +30,7 @@
 	Seed      uint64
 	Classes   []ClassMix
 	Habits    Habits
+	Asks      float64       // share of the tries that ask by ENUM first
 	Release   time.Duration // rule 5 as the call servers are told it; for planting breaches
 	Log       *slog.Logger
 	Baseline  func(s logic.Settings, seed int64) (router.Policy, error) // in place of the module, to compare with
@@ -137,7 +138,7 @@
 	erlangs := 0.0
 	f.Figures = rulecheck.Figures{Patience: map[byte]time.Duration{}, PointCodes: map[string]uint32{}, Grace: time.Second,
 		Release: 200 * time.Millisecond, TipAfter: 3 * time.Second, Overload: 2, ColdFrom: 0.3, ColdFor: 12 * time.Second,
-		Slack: 100 * time.Millisecond, Skew: 30 * time.Millisecond}
+		AskWithin: time.Second, Slack: 100 * time.Millisecond, Skew: 30 * time.Millisecond}
 	for _, c := range f.Set.Classes {
 		erlangs += c.Share * float64(c.Width) * c.Hold.Seconds()
 		f.Figures.Patience[c.Category] = c.Patience
@@ -176,6 +177,10 @@
 	n.Callers = NewCallers(2001+uint32(i), 101+uint32(i), uint32(i+1), circuits, seed, f.Now)
 	n.Callers.Mix, n.Callers.Habits, n.Callers.Pick = f.Set.Classes, f.Set.Habits, n.pick
 	n.Callers.Done = f.result
+	n.Callers.Asks, n.Callers.Where = f.Set.Asks, n.enumAddress
+	n.Callers.Tap = func(kind rulecheck.Kind, who string, data []byte) {
+		f.Rec.Add(rulecheck.Record{At: f.Now(), Kind: kind, Exchange: n.Name, Peer: who, Data: data})
+	}
 	n.Lines = NewSubscribers(3001+uint32(i), 101+uint32(i), 40*time.Millisecond, seed)
 	f.Nodes = append(f.Nodes, n)
 	return nil
@@ -293,6 +298,13 @@
 	return nil
 }
 
+func (n *Node) enumAddress() string {
+	if s := n.Server(); s != nil {
+		return s.EnumAddr().String()
+	}
+	return ""
+}
+
 func (n *Node) address() string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/standin/fleet.jsonnet
+++ b/internal/standin/fleet.jsonnet
@@ -29,6 +29,15 @@
     for c in fleet.classes
   ],
   numbers: [{ prefix: '55%02d' % (i + 1), exchange: name(i) } for i in std.range(0, fleet.exchanges - 1)],
+  enum: {
+    listen: '127.0.0.1:0',
+    routing: '99',
+    secret: 'fleet %d' % fleet.seed,
+    askers: [
+      { name: 'asker-' + c.name, networks: ['127.0.%d.0/24' % c.category], client: 'counters', class: c.name, rate: 1000 }
+      for c in fleet.classes
+    ],
+  },
   rules: {
     attempts: 5,
     release: fleet.release,
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -127,8 +127,15 @@
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprintf("seed %d", seed+1), func(t *testing.T) {
 			t.Parallel()
-			f := quickFleet(t, seed+1, func(s *FleetSettings) { s.Exchanges, s.Rate = 6, 60 })
+			f := quickFleet(t, seed+1, func(s *FleetSettings) {
+				if s.Exchanges, s.Rate = 6, 60; seed == 2 {
+					s.Asks = 0.5 // half of the calls by the second front
+				}
+			})
 			r := judged(t, f, day)
+			if seed == 2 && r.Verdict.Leases < 100 {
+				t.Errorf("%d look-ups, %d leases", r.Verdict.LookUps, r.Verdict.Leases)
+			}
 			if r.Verdict.Cold < 3 || r.Verdict.Calls < 500 {
 				t.Errorf("the day was not played: %+v", r.Verdict)
 			}
--- a/internal/standin/report.go
+++ b/internal/standin/report.go
@@ -96,6 +96,9 @@
 	v := r.Verdict
 	fmt.Fprintf(w, "service %.3f of the worth offered; %d calls taken, %d final answers, %d attempts, %d dual seizures, %d cold starts\n",
 		r.Service(), v.Calls, v.Answers, v.Attempts, v.Dual, v.Cold)
+	if v.LookUps > 0 {
+		fmt.Fprintf(w, "%d look-ups, %d of them granted a lease\n", v.LookUps, v.Leases)
+	}
 	for _, n := range r.Fallen {
 		fmt.Fprintf(w, "processor of %s fell over\n", n)
 	}
--- a/router/standing_test.go
+++ b/router/standing_test.go
@@ -135,3 +135,41 @@
 	}
 	r.Effects()
 }
+
+// BenchmarkLease is a question, its lease and its end unused. It tells the bytes that a lease takes.
+func BenchmarkLease(b *testing.B) {
+	cfg := testConfig(0, 2, 3900)
+	cfg.LogLevel = slog.LevelError
+	cfg.Askers = []Asker{{Name: "dns", Client: "counters", Leases: 4000}}
+	cfg.Routing, cfg.Lease, cfg.AskWithin = "99", 200*time.Millisecond, time.Second
+	r, err := New(cfg, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := time.Hour
+	r.Start(now, nil)
+	far := newProcess(&testing.T{}, r, &now, "b", 0, 102, m3ua.RoleIPSPServer)
+	far.up()
+	pump(r, far)
+	before := heapInUse()
+	const leases = 3000
+	for i := range leases {
+		r.Ask(now, uint64(i), "dns", fmt.Sprintf("552%05d", i))
+	}
+	r.Effects()
+	if len(r.leases) != leases {
+		b.Fatalf("%d leases", len(r.leases))
+	}
+	per := float64(heapInUse()-before) / leases
+	now += time.Second
+	r.Advance(now)
+	r.Effects()
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 300 * time.Millisecond
+		r.Advance(now)
+		r.Ask(now, 1, "dns", "55200001")
+		r.Effects()
+	}
+	b.ReportMetric(per, "B/lease")
+}
--- a/server/dns_test.go
+++ b/server/dns_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -164,3 +165,58 @@
 		})
 	}
 }
+
+// BenchmarkFlood is one asker's look-ups, twenty a second, alone and while another asks twenty times as fast as it may:
+// the share of the first one's that are granted.
+func BenchmarkFlood(b *testing.B) {
+	text := strings.Replace(settings, "name: 'a',", `enum: { listen: '127.0.0.1:0', routing: '99', secret: 'x', lease: '40ms', answers: 1e6,
+    askers: [{ name: 'quiet', networks: ['127.0.5.0/24'], client: 'counters', class: 'one', rate: 100 },
+      { name: 'flood', networks: ['127.0.6.0/24'], client: 'counters', class: 'one', rate: 100 }] }, name: 'a',`, 1)
+	for b.Loop() {
+		s := startWith(b, strings.ReplaceAll(text, "count: 4 ", "count: 186 "))
+		far := benchDial(b, s, 102, "b")
+		go func() { (&endpoint{conn: far, own: 102, far: 101}).serveCalls() }()
+		b.ReportMetric(granted(b, s, 5, 20, 40), "alone")
+		flooding := make(chan float64)
+		go func() { flooding <- granted(b, s, 6, 2000, 4000) }()
+		b.ReportMetric(granted(b, s, 5, 20, 40), "during")
+		b.ReportMetric(<-flooding, "flood")
+		s.Kill()
+	}
+}
+
+// granted asks n times at a rate from an address of a network, each time for another number, and gives the share that got
+// a routing number.
+func granted(b *testing.B, s *Server, network byte, rate float64, n int) float64 {
+	dialer := &net.Dialer{LocalAddr: &net.UDPAddr{IP: net.IPv4(127, 0, network, 1)}}
+	conn, err := (&dns.Client{Dialer: dialer, Timeout: 10 * time.Second}).Dial(s.EnumAddr().String())
+	if err != nil {
+		b.Error(err)
+		return 0
+	}
+	defer conn.Close()
+	got, done := 0, make(chan struct{})
+	go func() {
+		defer close(done)
+		for range n {
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			m, err := conn.ReadMsg()
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			if len(m.Answer) > 0 {
+				got++
+			}
+		}
+	}()
+	began := time.Now()
+	for i := range n {
+		time.Sleep(time.Until(began.Add(time.Duration(float64(i) / rate * float64(time.Second)))))
+		if err := conn.WriteMsg(naptr(fmt.Sprintf("552%d%05d", network, i))); err != nil {
+			b.Error(err)
+		}
+	}
+	<-done
+	return float64(got) / float64(n)
+}
