--- a/internal/standin/asker.go
+++ b/internal/standin/asker.go
@@ -42,6 +42,9 @@
 	}
 	who := fmt.Sprintf("%v", raw.LocalAddr())
 	for range asks {
+		if c.Where() != where {
+			return "" // that call server is gone, and what it held with it
+		}
 		c.Tap(rulecheck.Asked, who, wire)
 		if _, err := conn.Write(wire); err != nil {
 			return ""
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -158,6 +158,16 @@
 	}
 }
 
+// TestLookUpsTowardColdExchanges: all calls of all servers ask first while a third of the exchanges comes back cold.
+func TestLookUpsTowardColdExchanges(t *testing.T) {
+	t.Parallel()
+	f := quickFleet(t, 9, func(s *FleetSettings) { s.Exchanges, s.Rate, s.Asks = 6, 90, 1 })
+	r := judged(t, f, steps(5, Step{At: seconds(0.5), Kind: "jump", Len: seconds(4), Size: 1.5}, Step{At: seconds(1), Kind: "unit"}))
+	if r.Verdict.Leases < 100 || r.Verdict.Cold < 2 {
+		t.Errorf("%+v", r.Verdict)
+	}
+}
+
 // TestPlantedBreachOnSockets: call servers that are told to wait only 1 ms after a failed attempt break rule 5, and
 // the taps show it.
 func TestPlantedBreachOnSockets(t *testing.T) {
