A wide call is reset and cut as a whole; hardware blocking releases calls from both ends

Resets cover whole calls, and calls on blocked circuits are released with REL, so that circuits are free when the far end has answered.

--- a/internal/rulecheck/messages.go
+++ b/internal/rulecheck/messages.go
@@ -38,6 +38,7 @@
 	case isup.RLC:
 		if !r.Out {
 			delete(l.releasing, m.CIC)
+			delete(l.resetting, m.CIC)
 		}
 	case isup.ANM, isup.CON, isup.ACM, isup.CPG:
 		c.backward(s, l, r, m)
@@ -46,7 +47,7 @@
 	case isup.GRA:
 		if rng, err := m.RangeStatus(); err == nil && !r.Out {
 			for i := 0; i <= rng.Range; i++ {
-				delete(l.releasing, m.CIC+uint16(i))
+				delete(l.resetting, m.CIC+uint16(i))
 			}
 		}
 	case isup.UCIC:
@@ -90,7 +91,7 @@
 	}
 	if r.Out && m.Type != isup.CGB { // until the acknowledgement these take no call
 		for _, cic := range cics {
-			l.releasing[cic] = []uint16{cic}
+			l.resetting[cic] = true
 		}
 	}
 }
@@ -170,6 +171,9 @@
 func (c *checker) takes(s *server, l *link, r Record, cics []uint16) bool {
 	var lost []*leg
 	for _, cic := range cics {
+		if l.resetting[cic] {
+			return false
+		}
 		for _, held := range l.releasing {
 			if slices.Contains(held, cic) {
 				return false
--- a/trunk/procedure.go
+++ b/trunk/procedure.go
@@ -157,7 +157,10 @@
 	g.resetCircuits(now, all)
 }
 
+// resetCircuits resets circuits, and with them all circuits of the calls that they belong to: until the far end has
+// answered, it may still hold the others.
 func (g *Group) resetCircuits(now time.Duration, circuits []int) {
+	circuits = g.wholeCalls(circuits)
 	for _, i := range circuits {
 		g.cut(&g.circuits[i])
 		g.forget(releasing, i)
@@ -175,6 +178,23 @@
 	}
 }
 
+// wholeCalls adds the other circuits of wide calls, also of those that are being released.
+func (g *Group) wholeCalls(circuits []int) []int {
+	out := slices.Clone(circuits)
+	for _, i := range circuits {
+		if s := g.circuits[i].by; s != nil {
+			out = append(out, s.circuits...)
+		}
+		for _, p := range g.pending {
+			if p.kind == releasing && slices.Contains(p.circuits, i) {
+				out = append(out, p.circuits...)
+			}
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // runs cuts sorted circuits into runs of neighbouring codes, no longer than most.
 func (g *Group) runs(circuits []int, most int) (out [][]int) {
 	for k, i := range circuits {
@@ -200,7 +220,7 @@
 	for _, i := range circuits {
 		g.circuits[i].local.set(kind, on)
 		if on && kind == isup.Hardware {
-			g.cut(&g.circuits[i])
+			g.cutByRelease(now, i)
 		}
 	}
 	g.recount()
--- a/trunk/receive.go
+++ b/trunk/receive.go
@@ -261,14 +261,15 @@
 			g.blockRemote(g.members(m, r, true), isup.Maintenance, true)
 		}
 	case isup.CGB, isup.CGU:
-		g.blockGroup(m, r)
+		g.blockGroup(now, m, r)
 	case isup.CGBA, isup.CGUA:
 		g.acknowledge(blocking, m)
 	}
 }
 
-// blockGroup takes CGB and CGU and answers them. Hardware blocking cuts the calls on its circuits.
-func (g *Group) blockGroup(m *isup.Message, r isup.Range) {
+// blockGroup takes CGB and CGU and answers them. Hardware blocking cuts the calls on its circuits, with REL: where the
+// far end has lifted the block meanwhile, it may have taken a call that it would otherwise keep.
+func (g *Group) blockGroup(now time.Duration, m *isup.Message, r isup.Range) {
 	kind, on := m.GroupKind(), m.Type == isup.CGB
 	circuits := g.members(m, r, true)
 	g.blockRemote(circuits, kind, on)
@@ -279,7 +280,16 @@
 	g.send(isup.NewGroup(ack, m.CIC, kind, r))
 	if on && kind == isup.Hardware {
 		for _, i := range circuits {
-			g.cut(&g.circuits[i])
+			g.cutByRelease(now, i)
 		}
 	}
 }
+
+// cutByRelease ends the call on a circuit with REL: its circuits, those that are not blocked among them, are free when the
+// far end has answered.
+func (g *Group) cutByRelease(now time.Duration, i int) {
+	if s := g.circuits[i].by; s != nil {
+		g.Release(now, s, isup.ReleaseInfo{Cause: isup.CauseTemporaryFailure, Location: isup.LocationLocalNetwork})
+		g.tell(Cut, s, nil)
+	}
+}
