--- a/internal/rulecheck/messages.go
+++ b/internal/rulecheck/messages.go
@@ -84,7 +84,7 @@
 			}
 		}
 		for first, held := range l.releasing {
-			if slices.Contains(held, cic) {
+			if m.Type != isup.CGB && slices.Contains(held, cic) { // a block does not end a release
 				delete(l.releasing, first)
 			}
 		}
--- a/model/fleet.go
+++ b/model/fleet.go
@@ -317,8 +317,14 @@
 			l.answer = m.Type == isup.ANM || m.Type == isup.CON || m.Type == isup.REL
 			l.group = m.Type == isup.GRS || m.Type == isup.GRA || m.Type == isup.CGB || m.Type == isup.CGU
 		}
-		birth, access := n.birth, n.access
+		birth, access, generation := n.birth, n.access, uint64(0)
+		if peer {
+			generation = n.f.wire(n, n.f.nodes[from])
+		}
 		l.deliver = func() {
+			if peer && n.f.wire(n, n.f.nodes[from]) != generation {
+				return // its connection was lost while it waited
+			}
 			if n.birth == birth && n.r != nil && (n.access == access || link != n.countersLink()) {
 				n.tap(who, false, raw)
 				n.r.Receive(n.f.now, link, raw)
