finchlatch swarm; seeds that were broken once are played in every test run

A swarm that only tests can start helps nobody on call. Nine seeds that found something (in the trunk group, the checker or the model itself) stay as regression runs.

--- a/cmd/finchlatch/main_test.go
+++ b/cmd/finchlatch/main_test.go
@@ -87,6 +87,13 @@
 	}
 }
 
+func TestSwarm(t *testing.T) {
+	out, err := run(t, t.Context(), "swarm", "--runs", "3", "--from", "1577")
+	if err != nil || !strings.Contains(out, "3 runs from seed 1577, 0 of them bad") {
+		t.Errorf("%s, %v", out, err)
+	}
+}
+
 func TestTry(t *testing.T) {
 	day := write(t, "day.jsonnet", `{ len: '1s', steps: [{ at: '300ms', kind: 'jump', len: '300ms', size: 2 }] }`)
 	out, err := run(t, t.Context(), "try", "--script", day, "--exchanges", "3", "--rate", "30")
--- a/model/model_test.go
+++ b/model/model_test.go
@@ -185,7 +185,11 @@
 	if testing.Short() {
 		runs = 10
 	}
+	found := []uint64{106, 1382, 1446, 1577, 1714, 2024, 2120, 2245, 2346} // these were broken once
 	for seed := range uint64(runs) {
+		found = append(found, seed)
+	}
+	for _, seed := range found {
 		if err := Swarm(seed); err != nil {
 			t.Errorf("seed %d: %v", seed, err)
 		}
