--- a/server/dns_test.go
+++ b/server/dns_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/miekg/dns"
 
 	"finchlatch/isup"
@@ -136,8 +137,10 @@
 			addr := way.addr()
 			const sockets = 8
 			var all sync.WaitGroup
+			times := make([]*hdrhistogram.Histogram, sockets) // microseconds
 			b.ResetTimer()
 			for k := range sockets {
+				times[k] = hdrhistogram.New(1, 10_000_000, 3)
 				all.Add(1)
 				go func() {
 					defer all.Done()
@@ -148,7 +151,8 @@
 					}
 					defer conn.Close()
 					for i := k; i < b.N; i += sockets {
-						_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+						sent := time.Now()
+						_ = conn.SetDeadline(sent.Add(10 * time.Second))
 						if err := conn.WriteMsg(naptr("552" + string(rune('0'+k)))); err != nil {
 							b.Error(err)
 							return
@@ -157,11 +161,16 @@
 							b.Error(err)
 							return
 						}
+						_ = times[k].RecordValue(time.Since(sent).Microseconds())
 					}
 				}()
 			}
 			all.Wait()
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "queries/s")
+			for _, t := range times[1:] {
+				times[0].Merge(t)
+			}
+			b.ReportMetric(float64(times[0].ValueAtQuantile(99)), "p99-us")
 		})
 	}
 }
