One reader of the circuits of an IAM and of the ISUP in a frame

The circuits that an IAM names were worked out in the rule checker, the stand-in wires and the model, the map for them in both callers, and the ISUP message of a frame was found three times over. isup.Setup.Circuits, isup.CircuitMap and rulecheck.ISUP serve all.

--- a/internal/rulecheck/messages.go
+++ b/internal/rulecheck/messages.go
@@ -1,7 +1,6 @@
 package rulecheck
 
 import (
-	"math/bits"
 	"slices"
 	"time"
 
@@ -116,22 +115,6 @@
 	}
 }
 
-// circuits are the codes that an IAM names.
-func circuits(m *isup.Message, set isup.Setup) []uint16 {
-	if set.Map == 0 {
-		out := []uint16{m.CIC}
-		for i := 1; i < set.Width; i++ {
-			out = append(out, m.CIC+uint16(i))
-		}
-		return out
-	}
-	var out []uint16
-	for x := set.Map; x != 0; x &= x - 1 {
-		out = append(out, m.CIC/32*32+uint16(bits.TrailingZeros32(x))+1)
-	}
-	return out
-}
-
 // key is the calling party number, by which the legs of one try are told from all others.
 func key(m *isup.Message) string {
 	v, _ := m.Get(isup.ParamCallingNumber)
@@ -144,7 +127,7 @@
 		c.v.Unread++
 		return
 	}
-	cics := circuits(m, set)
+	cics := set.Circuits(m.CIC)
 	if r.Out {
 		c.setupOut(s, l, r, m, cics)
 		return
--- a/internal/rulecheck/trace.go
+++ b/internal/rulecheck/trace.go
@@ -72,14 +72,20 @@
 	if r.Kind != Message {
 		return nil, false
 	}
-	frame, err := m3ua.Decode(r.Data)
-	if err != nil || frame.Kind != m3ua.DATA {
-		return nil, false
+	m, _, ok := ISUP(r.Data)
+	return m, ok
+}
+
+// ISUP finds the ISUP message in a whole M3UA message, and the DATA that it came in.
+func ISUP(frame []byte) (*isup.Message, m3ua.ProtocolData, bool) {
+	m, err := m3ua.Decode(frame)
+	if err != nil || m.Kind != m3ua.DATA {
+		return nil, m3ua.ProtocolData{}, false
 	}
-	data, err := m3ua.ReadProtocolData(frame)
-	if err != nil || data.SI != m3ua.ServiceISUP {
-		return nil, false
+	p, err := m3ua.ReadProtocolData(m)
+	if err != nil || p.SI != m3ua.ServiceISUP {
+		return nil, p, false
 	}
-	m, err := isup.Decode(data.Data)
-	return m, err == nil
+	i, err := isup.Decode(p.Data)
+	return i, p, err == nil
 }
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -220,14 +220,8 @@
 	k.Tries++
 	t := &try{caller: k, cics: cics, sent: c.clock()}
 	c.next++
-	var slots uint32
-	if len(cics) > 1 {
-		for _, x := range cics {
-			slots |= 1 << (x%32 - 1)
-		}
-	}
 	m, err := isup.NewSetup(cics[0], isup.Setup{Called: isup.Number{Digits: number, Nature: 3, Plan: 1},
-		Category: class.Category, Width: class.Width, Map: slots, Hops: -1})
+		Category: class.Category, Width: class.Width, Map: isup.CircuitMap(cics), Hops: -1})
 	if err == nil {
 		m.Set(isup.ParamCallingNumber, callingNumber(c.id, c.next)...)
 		err = c.Send(m)
--- a/internal/standin/wire.go
+++ b/internal/standin/wire.go
@@ -202,24 +202,10 @@
 	})
 }
 
-// isupOf finds the ISUP message in a frame, without its parameters.
-func isupOf(frame []byte) (*isup.Message, m3ua.ProtocolData, bool) {
-	m, err := m3ua.Decode(frame)
-	if err != nil || m.Kind != m3ua.DATA {
-		return nil, m3ua.ProtocolData{}, false
-	}
-	p, err := m3ua.ReadProtocolData(m)
-	if err != nil {
-		return nil, p, false
-	}
-	i, err := isup.Decode(p.Data)
-	return i, p, err == nil
-}
-
 // arrive takes a frame at the end that it goes to: its processor handles it, or refuses it.
 func (s *session) arrive(d direction, frame []byte) {
 	_, to := s.ends(d)
-	m, p, ok := isupOf(frame)
+	m, p, ok := rulecheck.ISUP(frame)
 	if ok && s.clearing(d, m, p, frame) {
 		return
 	}
@@ -244,25 +230,19 @@
 	d direction
 }
 
-// circuitsOf are the circuits that an IAM names.
+// circuitsOf are the circuits that an IAM names; of one that cannot be read, its own.
 func circuitsOf(m *isup.Message) []uint16 {
 	set, err := m.Setup()
-	if err != nil || set.Map == 0 {
+	if err != nil {
 		return []uint16{m.CIC}
 	}
-	var out []uint16
-	for i := range uint16(31) {
-		if set.Map>>i&1 == 1 {
-			out = append(out, m.CIC/32*32+i+1)
-		}
-	}
-	return out
+	return set.Circuits(m.CIC)
 }
 
 // follow keeps the set-ups of an end: its IAMs as it sends them, until it sends or gets the RLC. d is the
 // direction of the frame, end that of what the end in question sends.
 func (s *session) follow(d, end direction, frame []byte) {
-	m, _, ok := isupOf(frame)
+	m, _, ok := rulecheck.ISUP(frame)
 	if !ok {
 		return
 	}
--- a/isup/params.go
+++ b/isup/params.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/bits"
 	"time"
 )
 
@@ -129,6 +130,32 @@
 	Hops     int           // hop counter left; -1 absent
 }
 
+// Circuits are the codes that an IAM on a circuit names: by its circuit assignment map, or one after the other.
+func (s Setup) Circuits(cic uint16) []uint16 {
+	out := []uint16{cic}
+	if s.Map == 0 {
+		for i := 1; i < s.Width; i++ {
+			out = append(out, cic+uint16(i))
+		}
+		return out
+	}
+	out = out[:0]
+	for x := s.Map; x != 0; x &= x - 1 {
+		out = append(out, cic/32*32+uint16(bits.TrailingZeros32(x))+1)
+	}
+	return out
+}
+
+// CircuitMap is the circuit assignment map for circuits of one 2,048 kbit/s system; 0 for a single one.
+func CircuitMap(cics []uint16) (m uint32) {
+	if len(cics) > 1 {
+		for _, c := range cics {
+			m |= 1 << (c%32 - 1)
+		}
+	}
+	return m
+}
+
 // NewSetup makes an IAM. Width goes into the transmission medium requirement, Elapsed, Map and Hops into
 // optional parameters.
 func NewSetup(cic uint16, s Setup) (*Message, error) {
--- a/model/ends.go
+++ b/model/ends.go
@@ -211,14 +211,8 @@
 	k.Tries++
 	t := &try{caller: k, cics: cics}
 	c.next++
-	var slots uint32
-	if len(cics) > 1 {
-		for _, x := range cics {
-			slots |= 1 << (x%32 - 1)
-		}
-	}
 	m, err := isup.NewSetup(cics[0], isup.Setup{Called: isup.Number{Digits: k.number, Nature: 3, Plan: 1}, Category: class.Category,
-		Width: class.Width, Map: slots, Hops: -1})
+		Width: class.Width, Map: isup.CircuitMap(cics), Hops: -1})
 	if err == nil {
 		b := binary.BigEndian.AppendUint16([]byte{3, 0x11}, uint16(c.n.index))
 		m.Set(isup.ParamCallingNumber, binary.BigEndian.AppendUint64(b, c.next)...)
--- a/model/fleet.go
+++ b/model/fleet.go
@@ -309,7 +309,7 @@
 	framer.Write(b)
 	for raw, _ := framer.Next(); raw != nil; raw, _ = framer.Next() {
 		l := letter{from: from, peer: peer}
-		if m := isupOf(raw); m != nil {
+		if m, _, ok := rulecheck.ISUP(raw); ok {
 			l.cics, l.setup = n.circuitsOf(from, m), m.Type == isup.IAM
 			if l.setup && peer {
 				n.f.nodes[from].wideCall(n.index, m.CIC, l.cics)
@@ -335,22 +335,6 @@
 	}
 }
 
-func isupOf(raw []byte) *isup.Message {
-	m, err := m3ua.Decode(raw)
-	if err != nil || m.Kind != m3ua.DATA {
-		return nil
-	}
-	p, err := m3ua.ReadProtocolData(m)
-	if err != nil {
-		return nil
-	}
-	i, err := isup.Decode(p.Data)
-	if err != nil {
-		return nil
-	}
-	return i
-}
-
 // circuitsOf are the circuits that a message is about. A wide call's later messages name only the first one.
 func (n *node) circuitsOf(from int, m *isup.Message) []uint16 {
 	if m.Type != isup.IAM {
@@ -360,13 +344,8 @@
 		return []uint16{m.CIC}
 	}
 	out := []uint16{m.CIC}
-	if set, err := m.Setup(); err == nil && set.Map != 0 {
-		out = out[:0]
-		for i := range uint16(31) {
-			if set.Map>>i&1 == 1 {
-				out = append(out, m.CIC/32*32+i+1)
-			}
-		}
+	if set, err := m.Setup(); err == nil {
+		out = set.Circuits(m.CIC)
 	}
 	n.wideCall(from, m.CIC, out)
 	return out
