Report fields that nobody read are gone; trunk steps have names that tell what they do

Report carried a time and a rate that were set and never printed; trunk's arrive and refuse took a time that they did not use, and two functions were named by a number.

--- a/cmd/finchlatch/simulate.go
+++ b/cmd/finchlatch/simulate.go
@@ -26,7 +26,6 @@
 	if err != nil {
 		return err
 	}
-	start := f.Now()
 	if err := f.Play(day, model.Quiet); err != nil {
 		return err
 	}
@@ -34,7 +33,6 @@
 	fmt.Fprintf(out, "%d exchanges in simulated time, %.0f calls a second, %v, seed %d; %d events in %v\n", set.Exchanges, set.Rate,
 		time.Duration(day.Len), set.Seed, f.Events(), time.Since(began).Round(time.Millisecond))
 	r := standin.NewReport(set.Classes, f.Results(), rulecheck.Check(f.Figures, records, f.Now()))
-	r.Took, r.Rate = f.Now()-start, set.Rate
 	for range f.Fallen() {
 		r.Fallen = append(r.Fallen, "an exchange")
 	}
--- a/cmd/finchlatch/try.go
+++ b/cmd/finchlatch/try.go
@@ -97,7 +97,7 @@
 	f.Play(day, func(text string) { fmt.Fprintf(out, "%5.1f s  %s\n", time.Since(start).Seconds(), text) })
 	close(stop)
 	<-ended
-	r := f.Report(time.Since(start))
+	r := f.Report()
 	r.Write(out)
 	if len(r.Verdict.Breaches) > 0 {
 		if trace {
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -47,9 +47,8 @@
 	if err := s.Check(t.Name()); err != nil {
 		t.Fatal(err)
 	}
-	began := time.Now()
 	f.Play(s, nil)
-	r := f.Report(time.Since(began))
+	r := f.Report()
 	if len(r.Verdict.Breaches) > 0 {
 		trace := rulecheck.Trace(f.Rec.Records(), r.Verdict.Breaches[0].Call)
 		t.Errorf("%d breaches, the first:\n%v\n%s", len(r.Verdict.Breaches), r.Verdict.Breaches[0], strings.Join(trace, "\n"))
@@ -237,7 +236,7 @@
 	notes := 0
 	f := quickFleet(t, 7, nil)
 	f.Play(steps(2), func(string) { mu.Lock(); notes++; mu.Unlock() })
-	r := f.Report(2 * time.Second)
+	r := f.Report()
 	stood := 0
 	for _, c := range r.Classes {
 		stood += c.InTime + c.Late
--- a/internal/standin/overload_test.go
+++ b/internal/standin/overload_test.go
@@ -31,7 +31,7 @@
 						day = steps(12, Step{Kind: "jump", Len: seconds(12), Size: max(load, 0.05)})
 					}
 					f.Play(day, nil)
-					r := f.Report(12 * time.Second)
+					r := f.Report()
 					f.Close()
 					worst := time.Duration(0)
 					for _, c := range r.Classes {
--- a/internal/standin/report.go
+++ b/internal/standin/report.go
@@ -24,12 +24,10 @@
 	Classes []ClassReport
 	Verdict rulecheck.Verdict
 	Fallen  []string // processors that fell over
-	Took    time.Duration
-	Rate    float64
 }
 
 // Report sums the run up.
-func (f *Fleet) Report(took time.Duration) Report {
+func (f *Fleet) Report() Report {
 	var fallen []string
 	for _, n := range f.Nodes {
 		if n.Processor.Down() {
@@ -37,7 +35,7 @@
 		}
 	}
 	r := NewReport(f.Set.Classes, f.Results(), f.Verdict())
-	r.Fallen, r.Took, r.Rate = fallen, took, f.Set.Rate
+	r.Fallen = fallen
 	return r
 }
 
--- a/model/executors_test.go
+++ b/model/executors_test.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"testing"
-	"time"
 
 	"finchlatch/internal/standin"
 )
@@ -26,7 +25,7 @@
 	}
 	defer s.Close()
 	s.Play(day, nil)
-	sockets := s.Report(time.Duration(day.Len))
+	sockets := s.Report()
 	if len(simulated.Verdict.Breaches)+len(sockets.Verdict.Breaches) > 0 {
 		t.Errorf("breaches: %v, %v", simulated.Verdict.Breaches, sockets.Verdict.Breaches)
 	}
--- a/trunk/group.go
+++ b/trunk/group.go
@@ -219,8 +219,8 @@
 	}
 }
 
-// set1 moves a circuit to a state and keeps the count of the spare ones.
-func (g *Group) set1(i int, to State, by *Seizure) {
+// move moves a circuit to a state and keeps the count of the spare ones.
+func (g *Group) move(i int, to State, by *Seizure) {
 	c := &g.circuits[i]
 	before := c.usable()
 	c.state, c.by = to, by
@@ -248,7 +248,7 @@
 	slices.Sort(found)
 	s := &Seizure{CIC: g.circuits[found[0]].cic, Outgoing: true, Owner: owner, circuits: found, Map: g.mapOf(found)}
 	for _, i := range found {
-		g.set1(i, SeizedOut, s)
+		g.move(i, SeizedOut, s)
 	}
 	return s
 }
@@ -308,7 +308,7 @@
 	s.over = true
 	for _, i := range s.circuits {
 		if g.circuits[i].by == s {
-			g.set1(i, to, nil)
+			g.move(i, to, nil)
 		}
 	}
 }
--- a/trunk/procedure.go
+++ b/trunk/procedure.go
@@ -90,7 +90,7 @@
 	g.pending = slices.Delete(g.pending, at, at+1)
 	for _, i := range p.circuits {
 		if c := &g.circuits[i]; p.kind == releasing && c.state == AwaitRelease || p.kind == resetting && c.state == Resetting {
-			g.set1(i, Idle, nil)
+			g.move(i, Idle, nil)
 		}
 	}
 	return true
@@ -124,7 +124,7 @@
 		if kind == releasing {
 			for _, i := range p.circuits {
 				if g.circuits[i].state == AwaitRelease {
-					g.set1(i, Idle, nil)
+					g.move(i, Idle, nil)
 				}
 			}
 			return true
@@ -164,7 +164,7 @@
 	for _, i := range circuits {
 		g.cut(&g.circuits[i])
 		g.forget(releasing, i)
-		g.set1(i, Resetting, nil)
+		g.move(i, Resetting, nil)
 		g.blockRemote([]int{i}, isup.Maintenance, false)
 	}
 	for _, run := range g.runs(circuits, 32) {
--- a/trunk/receive.go
+++ b/trunk/receive.go
@@ -30,11 +30,11 @@
 	c := &g.circuits[i]
 	switch m.Type {
 	case isup.IAM:
-		g.arrive(now, i, m)
+		g.arrive(i, m)
 	case isup.REL:
 		g.released(c, m)
 	case isup.RLC:
-		g.released2(i, m)
+		g.releaseComplete(m)
 	case isup.RSC:
 		g.send(isup.Simple(isup.RLC, m.CIC))
 		g.resetByPeer([]int{i})
@@ -64,16 +64,16 @@
 }
 
 // arrive takes an IAM: a new call, or a dual seizure.
-func (g *Group) arrive(now time.Duration, i int, m *isup.Message) {
+func (g *Group) arrive(i int, m *isup.Message) {
 	set, err := m.Setup()
 	if err != nil {
-		g.refuse(now, m.CIC, isup.CauseInvalidNumber)
+		g.refuse(m.CIC, isup.CauseInvalidNumber)
 		g.events = append(g.events, Event{Kind: Alert, Text: err.Error()})
 		return
 	}
 	circuits, ok := g.named(i, set)
 	if !ok || g.set.Direction == Outgoing {
-		g.refuse(now, m.CIC, isup.CauseProtocolError)
+		g.refuse(m.CIC, isup.CauseProtocolError)
 		return
 	}
 	var lost []*Seizure
@@ -82,7 +82,7 @@
 		c := &g.circuits[j]
 		switch {
 		case c.local.hardware:
-			g.refuse(now, m.CIC, isup.CauseNetworkOutOfOrder)
+			g.refuse(m.CIC, isup.CauseNetworkOutOfOrder)
 			return
 		case c.state == SeizedIn && g.set.Direction == Incoming:
 			if c.by.call == callOf(m) {
@@ -112,7 +112,7 @@
 		if g.circuits[j].remote.maintenance { // Q.764 2.8.2.3: an IAM lifts the far end's block
 			g.blockRemote([]int{j}, isup.Maintenance, false)
 		}
-		g.set1(j, SeizedIn, s)
+		g.move(j, SeizedIn, s)
 	}
 	g.tell(Arrived, s, m)
 }
@@ -151,7 +151,7 @@
 }
 
 // refuse answers an IAM that seized nothing here. The far end answers with RLC, which then finds no call.
-func (g *Group) refuse(now time.Duration, cic uint16, cause isup.Cause) {
+func (g *Group) refuse(cic uint16, cause isup.Cause) {
 	g.send(isup.NewRelease(cic, isup.ReleaseInfo{Cause: cause, Location: isup.LocationLocalNetwork}))
 }
 
@@ -169,8 +169,8 @@
 	}
 }
 
-// released2 takes an RLC: it answers REL or RSC.
-func (g *Group) released2(i int, m *isup.Message) {
+// releaseComplete takes an RLC: it answers REL or RSC.
+func (g *Group) releaseComplete(m *isup.Message) {
 	if !g.acknowledge(releasing, m) {
 		g.acknowledge(resetting, m)
 	}
@@ -183,7 +183,7 @@
 		c := &g.circuits[i]
 		g.cut(c)
 		if c.state == AwaitRelease {
-			g.set1(i, Idle, nil)
+			g.move(i, Idle, nil)
 			g.forget(releasing, i)
 		}
 		if c.remote.any() {
@@ -215,7 +215,7 @@
 	g.forget(resetting, i)
 	g.forget(blocking, i)
 	if c.by == nil {
-		g.set1(i, Idle, nil)
+		g.move(i, Idle, nil)
 	}
 	g.blockRemote([]int{i}, isup.Maintenance, true)
 	g.events = append(g.events, Event{Kind: Alert, Text: fmt.Sprintf("circuit %d is not equipped at the far end", c.cic)})
