--- /dev/null
+++ b/callserver/callers.go
@@ -0,0 +1,366 @@
+package callserver
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
+
+	"finchlatch/logic"
+	"finchlatch/office"
+	"finchlatch/sip"
+)
+
+// caller is one connection from callers. Any stranger may have opened it.
+type caller struct {
+	id     ConnID
+	from   string
+	in     sip.Framer
+	open   int           // set-ups on it without a final answer
+	born   time.Duration // of the connection
+	used   time.Duration // when it last carried a call; 0: never
+	proven bool          // a call stood on it
+	asked  time.Duration // since when a message is unfinished; 0: none is
+}
+
+// Limits on callers' connections; they are about syntax and sockets, not about calls.
+const (
+	sayWithin = 2 * time.Second // to say something whole at first, and to finish what was begun
+	mostHops  = 1 << 16         // numbers of exchanges and widths are below
+	longest   = 10 * time.Minute
+)
+
+// accepted takes a new connection; where there are too many, the one that is longest without a call gives way.
+func (s *Server) accepted(id ConnID, from string) {
+	c := &caller{id: id, from: from, born: s.now}
+	s.callers[id] = c
+	s.timers.Arm(s.now+sayWithin, timer{kind: timerCaller, id: uint64(id)})
+	if len(s.callers) > s.cfg.Callers {
+		idle := s.idlest()
+		if idle == nil {
+			idle = c
+		}
+		s.closeCaller(idle, "too many connections")
+	}
+	s.payOwed()
+}
+
+// idlest is the connection that is longest without a call: first those that have never carried one.
+func (s *Server) idlest() *caller {
+	var best *caller
+	for _, c := range s.callers {
+		if c.open > 0 {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(min(c.used, 1), min(best.used, 1)), cmp.Compare(max(c.used, c.born), max(best.used, best.born)),
+			cmp.Compare(c.id, best.id)) < 0 {
+			best = c
+		}
+	}
+	return best
+}
+
+// checkCaller closes a connection that says nothing, or does not finish what it began.
+func (s *Server) checkCaller(id ConnID) {
+	c := s.callers[id]
+	if c == nil {
+		return
+	}
+	switch {
+	case c.used == 0 && c.asked == 0:
+		s.closeCaller(c, "said nothing")
+	case c.asked > 0 && s.now-c.asked >= sayWithin:
+		s.closeCaller(c, "did not finish a message")
+	case c.asked > 0:
+		s.timers.Arm(c.asked+sayWithin, timer{kind: timerCaller, id: uint64(id)})
+	}
+}
+
+// closeCaller closes a connection; what was asked on it is given up.
+func (s *Server) closeCaller(c *caller, why string) {
+	s.log(slog.LevelDebug, "caller's connection closed", slog.String("from", c.from), slog.String("why", why))
+	s.emit(Close{Conn: c.id})
+	s.callerGone(c)
+}
+
+// callerGone gives up the set-ups of a connection that has ended. Calls that stand belong to no connection.
+func (s *Server) callerGone(c *caller) {
+	delete(s.callers, c.id)
+	if c.open == 0 {
+		return
+	}
+	for _, k := range s.inOrder() {
+		if k.from == c && k.state == settingUp {
+			s.hangUp(k)
+		}
+	}
+}
+
+// fromCaller takes bytes of a caller.
+func (s *Server) fromCaller(c *caller, b []byte) {
+	c.in.Write(b)
+	for s.callers[c.id] == c {
+		m, err := c.in.Next()
+		if err != nil {
+			s.fault(c, err)
+			return
+		}
+		if m == nil {
+			break
+		}
+		c.asked = 0
+		s.message(c, m)
+	}
+	if s.callers[c.id] == c && c.in.Waiting() > 0 && c.asked == 0 {
+		c.asked = s.now
+		s.timers.Arm(s.now+sayWithin, timer{kind: timerCaller, id: uint64(c.id)})
+	}
+}
+
+// fault answers what cannot be read, and closes the connection: nothing after it can be trusted.
+func (s *Server) fault(c *caller, err error) {
+	s.totals.Faults++
+	s.log(slog.LevelInfo, "caller's message refused", slog.String("from", c.from), slog.String("err", err.Error()))
+	var f *sip.Fault
+	if errors.As(err, &f) && (f.Head == nil || f.Head.Status == 0) {
+		s.respond(c, sip.HeadOf(f.Head), f.Status, 0, nil)
+	}
+	s.log(slog.LevelDebug, "caller's connection closed", slog.String("from", c.from))
+	s.emit(Close{Conn: c.id, Linger: true})
+	s.callerGone(c)
+}
+
+func (s *Server) respond(c *caller, h sip.Head, status, wait int, body []byte) {
+	s.emit(Write{Conn: c.id, Bytes: sip.Response(nil, h, status, wait, body)})
+}
+
+// message takes one message of a caller.
+func (s *Server) message(c *caller, m *sip.Message) {
+	c.used = max(c.used, 1) // it speaks; only calls count as use
+	if m.Status > 0 {
+		return // to our BYE; free
+	}
+	switch m.Method {
+	case "INVITE":
+		c.used = s.now
+		s.invite(c, m)
+	case "ACK", "NOTIFY": // neither wants an answer
+	case "CANCEL":
+		s.cancelled(c, m)
+	case "BYE":
+		s.bye(c, m)
+	case "OPTIONS":
+		s.respond(c, sip.HeadOf(m), s.health(), 0, nil)
+	default:
+		s.respond(c, sip.HeadOf(m), 405, 0, nil)
+	}
+}
+
+// health is the response to a test: calls can be taken as soon as some office is known.
+func (s *Server) health() int {
+	if len(s.offices) == 0 {
+		return 503
+	}
+	return 200
+}
+
+// invite takes a set-up, or one that names a call that stands already.
+func (s *Server) invite(c *caller, m *sip.Message) {
+	in, err := s.readInvite(m)
+	if err != nil {
+		s.fault(c, &sip.Fault{Status: 400, Text: err.Error(), Head: m})
+		return
+	}
+	if in.at != "" {
+		s.claim(c, in)
+		return
+	}
+	if old := s.byID[in.wire]; old != nil {
+		// Two set-ups under one id on one connection could not tell whose answer is whose.
+		if old.from != c || old.state != settingUp {
+			s.respond(c, sip.HeadOf(m), 482, 0, nil)
+		}
+		s.log(slog.LevelInfo, "id of a call that is held already", slog.String("from", c.from), slog.String("id", m.CallID))
+		s.emit(Close{Conn: c.id, Linger: true})
+		s.callerGone(c)
+		return
+	}
+	s.offer(c, in)
+}
+
+// invitation is a set-up as it was read.
+type invitation struct {
+	head   *sip.Message
+	wire   uint64
+	class  int
+	name   string
+	number string
+	left   time.Duration
+	call   logic.Call
+	at     string
+	body   []byte
+}
+
+// readInvite reads the fields of a set-up, and names the one that is wrong.
+func (s *Server) readInvite(m *sip.Message) (in invitation, err error) {
+	in.head, in.body, in.number, in.class, in.name = m, m.Body, m.User(), -1, m.Get("X-Cos")
+	if in.wire, err = callID(m.CallID); err != nil {
+		return in, err
+	}
+	if n, ok := s.class[in.name]; ok {
+		in.class = n
+	}
+	if !digits(in.number) {
+		return in, fmt.Errorf("address: a number of %.40q", in.number)
+	}
+	if err = in.legs(m.Get("X-Legs")); err != nil || in.at != "" {
+		return in, err
+	}
+	ms, err := strconv.ParseUint(m.Get("X-Timer-Ms"), 10, 31)
+	if in.left = time.Duration(ms) * time.Millisecond; err != nil || in.left > longest {
+		return in, fmt.Errorf("X-Timer-Ms: %.40q", m.Get("X-Timer-Ms"))
+	}
+	if !office.GoodDescription(in.body) {
+		return in, fmt.Errorf("body: a description that cannot be read")
+	}
+	return in, nil
+}
+
+// callID reads the id of a call.
+func callID(text string) (uint64, error) {
+	v, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != 16 {
+		return 0, fmt.Errorf("Call-ID: %.40q is not 16 hex digits", text)
+	}
+	return v, nil
+}
+
+// held is the call that a message of a caller names, or nil.
+func (s *Server) held(m *sip.Message) *call {
+	id, err := callID(m.CallID)
+	if err != nil {
+		return nil
+	}
+	return s.byID[id]
+}
+
+// digits tells whether a number called is one: hex digits, as the address signals of Q.763 are.
+func digits(s string) bool {
+	for _, c := range s {
+		if !strings.ContainsRune("0123456789abcdefABCDEF", c) {
+			return false
+		}
+	}
+	return s != "" && len(s) <= 32
+}
+
+// legs reads the figures of a set-up.
+func (in *invitation) legs(text string) error {
+	in.call.Dest, in.call.Via = -1, -1
+	for _, part := range strings.Split(text, ";") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), ":")
+		if name == "at" {
+			if in.at = value; value == "" || len(value) > 256 {
+				return fmt.Errorf("X-Legs: at %.40q", value)
+			}
+			continue
+		}
+		v, err := strconv.Atoi(value)
+		if name != "" && (err != nil || v < -1 || v >= mostHops) {
+			return fmt.Errorf("X-Legs: %.40q", part)
+		}
+		switch name {
+		case "dest":
+			in.call.Dest = v
+		case "width":
+			in.call.Width = v
+		case "via":
+			in.call.Via = v
+		case "transit":
+			in.call.Transit = v == 1
+		case "again":
+			in.call.WasCut = v == 1
+		}
+	}
+	return nil
+}
+
+// cancelled takes the word that a caller has stopped waiting. Only the connection of the set-up may say so.
+func (s *Server) cancelled(c *caller, m *sip.Message) {
+	k := s.held(m)
+	if k == nil || k.from != c {
+		s.respond(c, sip.HeadOf(m), 481, 0, nil)
+		return
+	}
+	s.respond(c, sip.HeadOf(m), 200, 0, nil)
+	if k.state == settingUp {
+		s.hangUp(k)
+		return
+	}
+	s.releaseOffice(k, office.CauseNormal) // our answer crossed it
+	s.endStanding(k, logic.Cancelled, office.CauseNormal, nil)
+}
+
+// bye takes the release of a call that stands, on whatever connection it comes.
+func (s *Server) bye(c *caller, m *sip.Message) {
+	k := s.held(m)
+	if k == nil || k.state == settingUp {
+		s.respond(c, sip.HeadOf(m), 481, 0, nil)
+		return
+	}
+	s.respond(c, sip.HeadOf(m), 200, 0, nil)
+	s.releaseOffice(k, causeOf(m.Get("Reason")))
+	s.finish(k, logic.Outcome{Status: logic.Cancelled})
+}
+
+// causeOf reads the cause of a release; without one that can be read it is the normal one.
+func causeOf(reason string) byte {
+	_, text, _ := strings.Cut(reason, "cause=")
+	text, _, _ = strings.Cut(text, ";")
+	v, err := strconv.ParseUint(strings.TrimSpace(text), 10, 7)
+	if err != nil || v == 0 {
+		return office.CauseNormal
+	}
+	return byte(v)
+}
+
+// toCaller is a connection that a release can go out on: that of the set-up, else the one that proved itself last.
+func (s *Server) toCaller(k *call) *caller {
+	if k.from != nil && s.callers[k.from.id] == k.from {
+		return k.from
+	}
+	var best *caller
+	for _, c := range s.callers {
+		if c.used > 1 && (best == nil || c.proven && !best.proven || c.proven == best.proven &&
+			(c.used > best.used || c.used == best.used && c.id > best.id)) {
+			best = c
+		}
+	}
+	return best
+}
+
+// payOwed sends the releases that wait for a connection.
+func (s *Server) payOwed() {
+	if len(s.owed) == 0 {
+		return
+	}
+	owed := s.owed
+	s.owed = nil
+	for _, k := range owed {
+		s.releaseCaller(k, k.owedCause)
+	}
+}
+
+// releaseCaller sends the release of a call that stood toward its caller.
+func (s *Server) releaseCaller(k *call, cause byte) {
+	c := s.toCaller(k)
+	if c == nil {
+		k.owedCause = cause
+		s.owed = append(s.owed, k)
+		return
+	}
+	s.emit(Write{Conn: c.id, Bytes: sip.Request(nil, "BYE", "sip:"+k.number+"@net", k.callID, 2, int(cause))})
+}
--- /dev/null
+++ b/callserver/calls.go
@@ -0,0 +1,216 @@
+package callserver
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+	"time"
+
+	"finchlatch/logic"
+	"finchlatch/office"
+	"finchlatch/sip"
+)
+
+// state is how far a call has come. A call that is over is forgotten.
+type state byte
+
+const (
+	settingUp state = iota
+	standing
+)
+
+// call is one call that is held.
+type call struct {
+	id          uint64 // by which the Controller knows it; 0: it was taken up as it stood
+	wire        uint64 // by which callers and offices know it
+	callID      string
+	head        sip.Head
+	from        *caller
+	state       state
+	name        string // of its class
+	number      string
+	description []byte
+	attempts    int
+	at          *exchange     // of the attempt, or where it stands
+	on          *assoc        // of the attempt, once it has one
+	past        []ConnID      // of earlier attempts
+	sent        time.Duration // when the Controller asked for the attempt
+	deadline    time.Duration
+	trying      bool // an attempt is out or waits for its connection
+	written     bool // its set-up has been handed to the connection
+	claimed     string
+	owedCause   byte
+}
+
+// out tells whether an attempt has no ending yet.
+func (c *call) out() bool { return c.trying && c.state == settingUp }
+
+// inOrder gives the calls in the order in which they came.
+func (s *Server) inOrder() []*call {
+	all := make([]*call, 0, len(s.byID))
+	for _, c := range s.byID {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *call) int { return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.wire, b.wire)) })
+	return all
+}
+
+// offer hands a set-up to the Controller. Time spent on the way through this process is the caller's.
+func (s *Server) offer(c *caller, in invitation) {
+	s.totals.Offered++
+	k := &call{wire: in.wire, callID: in.head.CallID, head: sip.HeadOf(in.head), from: c, name: in.name,
+		number: in.number, description: in.body}
+	if s.cfg.MaxOpen > 0 && s.open >= s.cfg.MaxOpen {
+		s.respond(c, k.head, 503, 0, nil)
+		s.totals.Refused++
+		return
+	}
+	s.lastCall++
+	k.id = s.lastCall
+	s.calls[k.id], s.byID[k.wire] = k, k
+	c.open++
+	s.open++
+	in.call.ID, in.call.Class, in.call.Number, in.call.TimeLeft = k.id, in.class, in.number, in.left-s.waited
+	s.ctl.Offered(s.now, in.call)
+}
+
+// hangUp takes the news that the caller has gone before an answer.
+func (s *Server) hangUp(k *call) {
+	s.totals.HungUp++
+	s.answered(k)
+	s.ctl.HungUp(s.now, k.id)
+	s.forget(k)
+}
+
+// answered ends what a caller is owed.
+func (s *Server) answered(k *call) {
+	k.from.open--
+	s.open--
+	k.from.used = s.now
+	delete(s.byID, k.wire)
+}
+
+// forget drops a call that is over once no attempt is out.
+func (s *Server) forget(k *call) {
+	if s.byID[k.wire] != k && !k.trying {
+		delete(s.calls, k.id)
+	}
+}
+
+// refuse gives a final answer that is not a success.
+func (s *Server) refuse(k *call, status, wait int) {
+	if s.byID[k.wire] != k || k.state != settingUp {
+		return
+	}
+	s.respond(k.from, k.head, status, wait, nil)
+	s.answered(k)
+	s.later(func() { s.forget(k) })
+}
+
+// stands passes the answer of an office on.
+func (s *Server) stands(k *call, m *office.Message) {
+	s.totals.Stood++
+	s.settle(k)
+	k.state, k.trying = standing, true
+	k.from.open--
+	s.open--
+	k.from.used, k.from.proven = s.now, true
+	s.respond(k.from, k.head, 200, 0, m.Description)
+	k.head, k.description = sip.Head{}, nil
+	k.at.standing++
+	k.at.count.stood++
+	s.ctl.Stands(s.now, logic.Outcome{Call: k.id, Attempt: k.attempts - 1, Office: k.at.id, Took: s.now - k.sent})
+}
+
+// settle takes an attempt off its connection.
+func (s *Server) settle(k *call) {
+	if k.on != nil {
+		k.on.open = slices.DeleteFunc(k.on.open, func(o *call) bool { return o == k })
+	}
+	k.at.waiting = slices.DeleteFunc(k.at.waiting, func(o *call) bool { return o == k })
+}
+
+// over tells the Controller how an attempt ended.
+func (s *Server) over(k *call, o logic.Outcome) {
+	s.settle(k)
+	if k.on != nil && k.written {
+		k.past = append(k.past, k.on.id)
+	}
+	at := k.at
+	k.trying, k.on, k.written = false, nil, false
+	at.count.add(o.Status)
+	o.Call, o.Attempt, o.Office, o.Took, o.Over = k.id, k.attempts-1, at.id, s.now-k.sent, s.byID[k.wire] != k
+	s.log(slog.LevelDebug, "attempt over", slog.String("call", k.callID), slog.String("office", at.id),
+		slog.String("status", string(o.Status)), slog.Int("note", o.Note), slog.Duration("took", o.Took))
+	s.ctl.Outcome(s.now, o)
+	s.forget(k)
+}
+
+// finish ends a call that stood.
+func (s *Server) finish(k *call, o logic.Outcome) {
+	k.at.standing--
+	delete(s.byID, k.wire)
+	delete(s.calls, k.id)
+	k.trying = false
+	if k.id == 0 {
+		return
+	}
+	o.Call, o.Attempt, o.Office, o.Took, o.Over = k.id, k.attempts-1, k.at.id, s.now-k.sent, true
+	s.ctl.Outcome(s.now, o)
+}
+
+// endStanding releases a call that stood toward its caller.
+func (s *Server) endStanding(k *call, status logic.Status, cause byte, load []float64) {
+	s.finish(k, logic.Outcome{Status: status, Load: load})
+	s.releaseCaller(k, cause)
+}
+
+// timedOut ends an attempt whose time is over: the office is told, and then the Controller.
+func (s *Server) timedOut(k *call) {
+	a, written := k.on, k.written
+	s.giveUp(k)
+	s.over(k, logic.Outcome{Status: logic.TimedOut})
+	if a != nil && written {
+		s.doubt(a)
+	}
+}
+
+// claim takes up a call that stands already at an office.
+func (s *Server) claim(c *caller, in invitation) {
+	c.used, c.proven = s.now, true
+	if old := s.byID[in.wire]; old != nil {
+		if old.state == standing {
+			old.from = c
+		}
+		return
+	}
+	k := &call{wire: in.wire, callID: in.head.CallID, from: c, state: standing, name: in.name, number: in.number,
+		claimed: in.at}
+	s.byID[k.wire] = k
+	k.at = s.offices[in.at]
+	if k.at == nil {
+		k.at = &exchange{id: in.at} // no list has named it yet
+		s.arm(claimWait, timer{kind: timerClaim, id: k.wire})
+	}
+	k.at.standing++
+	if k.at.state == logic.Gone && s.offices[in.at] != nil {
+		s.endStanding(k, logic.Reset, office.CauseTemporary, nil)
+	}
+}
+
+// claimWait is how long the list may take to name the office of a call that was taken up.
+const claimWait = 5 * time.Second
+
+// checkClaim ends a call that was taken up at an office that is not known by now.
+func (s *Server) checkClaim(wire uint64) {
+	k := s.byID[wire]
+	if k == nil || k.claimed == "" || s.offices[k.claimed] == k.at {
+		return
+	}
+	if o := s.offices[k.claimed]; o != nil {
+		k.at = o
+		o.standing++
+		return
+	}
+	s.endStanding(k, logic.Reset, office.CauseTemporary, nil)
+}
--- /dev/null
+++ b/callserver/callserver.go
@@ -0,0 +1,229 @@
+// Package callserver is the platform's call server without sockets: callers' set-ups in the form of SIP, attempts at
+// offices in binary messages, the list of offices from the journal service, and one Controller of package logic that
+// decides about all of them. Events and the time go in, effects come out; it has no sockets, files, clock or
+// goroutines, and decides nothing about calls itself.
+package callserver
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"finchlatch/feed"
+	"finchlatch/internal/timing"
+	"finchlatch/logic"
+)
+
+// Config is what a Server is made from.
+type Config struct {
+	Settings       logic.Settings // without Host
+	Seed           int64
+	ConnectTimeout time.Duration
+	MaxOpen        int // most set-ups open at once
+	Callers        int // most connections from callers
+	Offices        int // most connections to offices
+	LogLevel       slog.Level
+}
+
+// Input is one thing that a Server is told, as data. Which fields count depends on the kind.
+type Input struct {
+	At      time.Duration // Unix time
+	Kind    InputKind
+	Conn    ConnID
+	From    string
+	Refused bool
+	On      bool
+	Bytes   []byte        // not kept
+	Waited  time.Duration // how long the bytes waited in this process: the callers have waited as long
+	Events  []feed.Event
+}
+
+// Server is one call server. It is not safe for concurrent use; two Servers share nothing.
+type Server struct {
+	cfg      Config
+	ctl      *logic.Controller
+	class    map[string]int
+	now      time.Duration
+	waited   time.Duration
+	timers   timing.Timers[timer]
+	lastConn ConnID
+	callers  map[ConnID]*caller
+	assocs   map[ConnID]*assoc
+	calls    map[uint64]*call // by the Controller's number
+	byID     map[uint64]*call // by the id on the wire: open and standing
+	open     int              // calls without a final answer
+	lastCall uint64
+	offices  map[string]*exchange
+	probes   map[uint64]*probe
+	owed     []*call // releases that no caller's connection could carry yet
+	pos      uint64  // of the last event of the journal
+	todo     []func()
+	effects  []Effect
+	given    []Effect
+	totals   totals
+}
+
+// totals count what was answered.
+type totals struct{ Offered, Stood, Refused, Failed, HungUp, Faults uint64 }
+
+type timer struct {
+	kind timerKind
+	mark string
+	id   uint64 // call, connection or probe
+	n    int    // attempt
+	at   string // office
+}
+
+type timerKind byte
+
+const (
+	timerMark    timerKind = iota // of the Controller
+	timerAttempt                  // the time-out of an attempt
+	timerCaller                   // a caller's connection has had time to say something whole
+	timerAssoc                    // a message of an office has had time to end
+	timerRedial
+	timerGrace // what has not gone out to a draining office by now must not go out any more
+	timerProbe
+	timerClaim // a standing call at an office that no list has named
+)
+
+// New makes a Server, or tells which setting is wrong.
+func New(cfg Config) (*Server, error) {
+	s := &Server{cfg: cfg, class: map[string]int{}, callers: map[ConnID]*caller{}, assocs: map[ConnID]*assoc{},
+		calls: map[uint64]*call{}, byID: map[uint64]*call{}, offices: map[string]*exchange{}, probes: map[uint64]*probe{}}
+	for i, k := range cfg.Settings.Classes {
+		if _, twice := s.class[k.Name]; twice {
+			return nil, fmt.Errorf("callserver: class %q stands twice", k.Name)
+		}
+		s.class[k.Name] = i
+	}
+	settings := cfg.Settings
+	settings.Host = host{s}
+	var err error
+	if s.ctl, err = logic.New(settings, cfg.Seed); err != nil {
+		return nil, fmt.Errorf("callserver: %w", err)
+	}
+	return s, nil
+}
+
+// Start begins work with the list of offices as it is known.
+func (s *Server) Start(now time.Duration, known feed.Known) {
+	s.now = now
+	s.begin(known)
+	s.run()
+}
+
+// Apply tells a Server of an input.
+func (s *Server) Apply(in Input) {
+	s.now = max(s.now, in.At)
+	switch in.Kind {
+	case InAccepted:
+		s.accepted(in.Conn, in.From)
+	case InConnected:
+		s.connected(in.Conn)
+	case InFailed:
+		s.failed(in.Conn, in.Refused)
+	case InClosed:
+		s.closed(in.Conn)
+	case InReceive:
+		s.waited = max(0, in.Waited)
+		s.receive(in.Conn, in.Bytes)
+		s.waited = 0
+	case InStuck:
+		s.stuck(in.Conn, in.On)
+	case InJournal:
+		for i := range in.Events {
+			s.journal(&in.Events[i])
+		}
+	case InAdvance:
+		for _, t, ok := s.timers.Pop(s.now); ok; _, t, ok = s.timers.Pop(s.now) {
+			s.fire(t)
+			s.run()
+		}
+	}
+	s.run()
+}
+
+// NewConn numbers a connection that has been accepted.
+func (s *Server) NewConn() ConnID {
+	s.lastConn++
+	return s.lastConn
+}
+
+// Next tells when InAdvance has work; false: nothing waits.
+func (s *Server) Next() (time.Duration, bool) { return s.timers.Next() }
+
+// Effects gives what is to be carried out, in order, and forgets it. The slice is good until the next call.
+func (s *Server) Effects() []Effect {
+	clear(s.given)
+	s.effects, s.given = s.given[:0], s.effects
+	return s.given
+}
+
+// Pos is the number of the last event of the journal that has been taken.
+func (s *Server) Pos() uint64 { return s.pos }
+
+// run tells the Controller what it must still be told.
+func (s *Server) run() {
+	for len(s.todo) > 0 {
+		f := s.todo[0]
+		s.todo = s.todo[1:]
+		f()
+	}
+	s.todo = nil
+}
+
+// later has the Controller told something after it has finished what it is doing.
+func (s *Server) later(f func()) { s.todo = append(s.todo, f) }
+
+func (s *Server) emit(e Effect) { s.effects = append(s.effects, e) }
+
+func (s *Server) log(level slog.Level, text string, attrs ...slog.Attr) {
+	if level >= s.cfg.LogLevel {
+		s.emit(Log{Level: level, Text: text, Attrs: attrs})
+	}
+}
+
+func (s *Server) arm(wait time.Duration, t timer) { s.timers.Arm(s.now+wait, t) }
+
+func (s *Server) fire(t timer) {
+	switch t.kind {
+	case timerMark:
+		s.ctl.Timer(s.now, t.mark)
+	case timerAttempt:
+		if c := s.calls[t.id]; c != nil && c.out() && c.attempts-1 == t.n {
+			s.timedOut(c)
+		}
+	case timerCaller:
+		s.checkCaller(ConnID(t.id))
+	case timerAssoc:
+		s.checkAssoc(ConnID(t.id), t.n)
+	case timerRedial:
+		s.redial(t.at)
+	case timerGrace:
+		s.graceOver(t.at)
+	case timerProbe:
+		s.probeOver(t.id, logic.Report{})
+	case timerClaim:
+		s.checkClaim(t.id)
+	}
+}
+
+func (s *Server) receive(id ConnID, b []byte) {
+	if c := s.callers[id]; c != nil {
+		s.fromCaller(c, b)
+	} else if t := s.assocs[id]; t != nil {
+		s.fromOffice(t, b)
+	}
+}
+
+func (s *Server) closed(id ConnID) {
+	if c := s.callers[id]; c != nil {
+		s.callerGone(c)
+	} else if t := s.assocs[id]; t != nil {
+		s.assocGone(t)
+	}
+}
+
+// Held tells how many calls have no final answer yet, and how many stand.
+func (s *Server) Held() (open, standing int) { return s.open, len(s.byID) - s.open }
--- /dev/null
+++ b/callserver/effects.go
@@ -0,0 +1,63 @@
+package callserver
+
+import (
+	"log/slog"
+	"time"
+)
+
+// ConnID names one connection, accepted or dialled.
+type ConnID uint64
+
+// Effect is something that the shell around a Server carries out, in order.
+type Effect interface{ effect() }
+
+// Write asks for bytes to be written on a connection.
+type Write struct {
+	Conn  ConnID
+	Bytes []byte
+}
+
+// Close asks for a connection to be closed once what was written before has gone out. Nothing more is told of it.
+type Close struct {
+	Conn   ConnID
+	Now    bool // what waits is dropped: it must not go out any more
+	Linger bool // bytes may be coming still, and a reset must not eat the response
+}
+
+// Dial asks for a connection to an office; InConnected or InFailed tells what became of it.
+type Dial struct {
+	Conn   ConnID
+	Addr   string
+	Within time.Duration
+}
+
+// AskJournal asks the journal service again, for what came after From.
+type AskJournal struct{ From uint64 }
+
+// Log is a line for the operators.
+type Log struct {
+	Level slog.Level
+	Text  string
+	Attrs []slog.Attr
+}
+
+func (Write) effect()      {}
+func (Close) effect()      {}
+func (Dial) effect()       {}
+func (AskJournal) effect() {}
+func (Log) effect()        {}
+
+// InputKind tells inputs apart.
+type InputKind byte
+
+// Inputs of a Server: all that it is ever told.
+const (
+	InAccepted  InputKind = iota // Conn, From: a caller's connection
+	InConnected                  // Conn: a dialled connection is up
+	InFailed                     // Conn, Refused: it is not
+	InClosed                     // Conn: it has ended
+	InReceive                    // Conn, Bytes, Waited
+	InStuck                      // Conn, On: bytes wait that TCP does not take
+	InJournal                    // Events
+	InAdvance                    // time has gone on
+)
--- /dev/null
+++ b/callserver/offices.go
@@ -0,0 +1,382 @@
+package callserver
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"finchlatch/logic"
+	"finchlatch/office"
+)
+
+// exchange is one office: a process with an id of its own. Its address may have belonged to another one before.
+type exchange struct {
+	id, addr string
+	cell     int
+	state    logic.OfficeState
+	started  time.Duration
+	told     time.Duration // when the list said that it drains or is gone
+	assocs   []*assoc
+	waiting  []*call // attempts without a connection yet
+	standing int
+	owed     []release // of calls that stood, for the next connection
+	failures int       // connections that did not come up, in a row
+	redialAt time.Duration
+	count    count
+}
+
+// release is one that an office is owed.
+type release struct {
+	call  uint64
+	cause byte
+}
+
+// count is what passed between us and an office.
+type count struct{ sent, stood, full, faulted, timedOut, reset, noConnect, notSent, cancelled uint64 }
+
+func (c *count) add(s logic.Status) {
+	switch s {
+	case logic.Full:
+		c.full++
+	case logic.Faulted:
+		c.faulted++
+	case logic.TimedOut:
+		c.timedOut++
+	case logic.Reset:
+		c.reset++
+	case logic.NoConnect:
+		c.noConnect++
+	case logic.NotSent:
+		c.notSent++
+	case logic.Cancelled:
+		c.cancelled++
+	}
+}
+
+// assoc is one connection to an office.
+type assoc struct {
+	id       ConnID
+	to       *exchange
+	in       office.Framer
+	up       bool
+	stuck    bool // bytes wait that TCP does not take
+	doubtful bool // an answer is missing on it: it gets nothing new, and is closed when nothing is open on it
+	open     []*call
+	born     time.Duration
+	messages int
+}
+
+// How connections to offices are kept; these are limits on sockets, not on calls.
+const (
+	firstRedial = 50 * time.Millisecond
+	lastRedial  = time.Second
+	endWithin   = 250 * time.Millisecond // the rest of a message of 16 KiB at most comes at once, or never
+	mostPerDest = 24
+)
+
+// share is how many connections an office may have.
+func (s *Server) share() int {
+	live := 1
+	for _, x := range s.offices {
+		if x.state != logic.Gone {
+			live++
+		}
+	}
+	return min(mostPerDest, max(1, s.cfg.Offices/live))
+}
+
+// best is the connection for something new: the one with the least open on it.
+func (x *exchange) best(not ...ConnID) *assoc {
+	var best *assoc
+	for _, a := range x.assocs {
+		if a.up && !a.stuck && !a.doubtful && !slices.Contains(not, a.id) && (best == nil || len(a.open) < len(best.open)) {
+			best = a
+		}
+	}
+	return best
+}
+
+// assign gives an attempt a connection, or lets it wait for one. A spoilt answer takes with it what is open on its
+// connection, so each set-up has one of its own as far as descriptors go; one is kept ready. An attempt never goes
+// out on a connection of an earlier one of its call: a late answer to that one would be taken for its own.
+func (s *Server) assign(k *call) {
+	x := k.at
+	if a := x.best(k.past...); a != nil {
+		s.setUp(a, k)
+	} else {
+		x.waiting = append(x.waiting, k)
+		x.redialAt = 0
+	}
+	s.spare(x)
+}
+
+// spare sees to it that an office has a connection for the next attempt.
+func (s *Server) spare(x *exchange) {
+	if x.state == logic.Gone || x.cell == s.cfg.Settings.Home && !s.cfg.Settings.Pools {
+		return
+	}
+	idle, dialling := 0, 0
+	for _, a := range x.assocs {
+		switch {
+		case !a.up:
+			dialling++
+		case len(a.open) == 0 && !a.doubtful && !a.stuck:
+			idle++
+		}
+	}
+	if dialling > 0 || idle > 0 && len(x.waiting) == 0 || len(x.assocs) >= s.share()+len(x.waiting) || s.now < x.redialAt {
+		return
+	}
+	s.lastConn++
+	a := &assoc{id: s.lastConn, to: x, born: s.now}
+	x.assocs, s.assocs[a.id] = append(x.assocs, a), a
+	s.emit(Dial{Conn: a.id, Addr: x.addr, Within: s.cfg.ConnectTimeout})
+}
+
+// redial tries again to reach an office.
+func (s *Server) redial(id string) {
+	if x := s.offices[id]; x != nil && s.now >= x.redialAt {
+		s.spare(x)
+	}
+}
+
+// setUp writes the set-up of an attempt.
+func (s *Server) setUp(a *assoc, k *call) {
+	k.on, k.written = a, true
+	a.open = append(a.open, k)
+	left := max(1, int((k.deadline-s.now)/time.Millisecond))
+	s.send(a, &office.Message{Type: office.SetUp, Call: k.wire, Class: k.name, Wait: left, Number: k.number,
+		Description: k.description})
+}
+
+func (s *Server) send(a *assoc, m *office.Message) {
+	b, err := office.Append(nil, m)
+	if err != nil {
+		s.log(slog.LevelError, "message that cannot be written", slog.String("err", err.Error()))
+		return
+	}
+	s.emit(Write{Conn: a.id, Bytes: b})
+}
+
+// connected takes the news that a connection to an office is up: what waits goes out on it.
+func (s *Server) connected(id ConnID) {
+	a := s.assocs[id]
+	if a == nil {
+		s.emit(Close{Conn: id})
+		return
+	}
+	a.up, a.born = true, s.now
+	x := a.to
+	x.failures = 0
+	for _, r := range x.owed {
+		s.send(a, &office.Message{Type: office.Release, Call: r.call, Cause: r.cause, HasCause: true})
+	}
+	x.owed = nil
+	waiting := x.waiting
+	x.waiting = nil
+	for _, k := range waiting {
+		s.assign(k)
+	}
+	s.spare(x)
+}
+
+// failed takes the news that a connection did not come up: nothing that waited for it ran.
+func (s *Server) failed(id ConnID, refused bool) {
+	a := s.assocs[id]
+	if a == nil {
+		return
+	}
+	x := a.to
+	s.log(slog.LevelInfo, "office not reached", slog.String("office", x.id), slog.Bool("refused", refused))
+	s.remove(a)
+	pause := min(firstRedial<<min(x.failures, 8), lastRedial)
+	x.failures++
+	x.redialAt = s.now + pause
+	s.arm(pause, timer{kind: timerRedial, at: x.id})
+	waiting := x.waiting
+	x.waiting = nil
+	for _, k := range waiting {
+		if b := x.best(k.past...); b != nil {
+			s.setUp(b, k)
+			continue
+		}
+		s.over(k, logic.Outcome{Status: logic.NoConnect})
+	}
+	if refused && !x.anyUp() { // the process has ended, and with it what stood there
+		s.cutStanding(x, s.now)
+	}
+	s.tidy(x)
+}
+
+func (x *exchange) anyUp() bool {
+	return slices.ContainsFunc(x.assocs, func(a *assoc) bool { return a.up })
+}
+
+// remove forgets a connection.
+func (s *Server) remove(a *assoc) {
+	delete(s.assocs, a.id)
+	a.to.assocs = slices.DeleteFunc(a.to.assocs, func(o *assoc) bool { return o == a })
+	s.tidy(a.to)
+}
+
+// assocGone ends what was open on a connection that has ended. Calls that stand belong to no connection.
+func (s *Server) assocGone(a *assoc) {
+	x := a.to
+	s.remove(a)
+	open := a.open
+	a.open = nil
+	for _, k := range open {
+		s.over(k, logic.Outcome{Status: logic.Reset})
+	}
+	s.spare(x)
+}
+
+// spoilt closes a connection that cannot be followed any further.
+func (s *Server) spoilt(a *assoc, why string) {
+	s.log(slog.LevelInfo, "office's connection closed", slog.String("office", a.to.id), slog.String("why", why),
+		slog.Int("open", len(a.open)))
+	s.emit(Close{Conn: a.id, Now: true})
+	s.assocGone(a)
+}
+
+// doubt takes a connection out of use on which an answer is missing.
+func (s *Server) doubt(a *assoc) {
+	if s.assocs[a.id] != a {
+		return
+	}
+	a.doubtful = true
+	s.retire(a)
+	s.spare(a.to)
+}
+
+// retire closes a connection that gets nothing new, once nothing is open on it.
+func (s *Server) retire(a *assoc) {
+	if a.doubtful && len(a.open) == 0 && s.assocs[a.id] == a {
+		s.emit(Close{Conn: a.id})
+		s.remove(a)
+	}
+}
+
+// stuck takes the news that TCP takes no more bytes of a connection, or does again.
+func (s *Server) stuck(id ConnID, on bool) {
+	if a := s.assocs[id]; a != nil {
+		a.stuck = on
+		if on {
+			s.spare(a.to)
+		}
+	}
+}
+
+// fromOffice takes bytes of an office.
+func (s *Server) fromOffice(a *assoc, b []byte) {
+	a.in.Write(b)
+	for s.assocs[a.id] == a {
+		m, err := a.in.Next()
+		if err != nil {
+			s.spoilt(a, err.Error())
+			return
+		}
+		if m == nil {
+			break
+		}
+		a.messages++
+		s.officeMessage(a, m)
+	}
+	if s.assocs[a.id] == a && a.in.Waiting() > 0 {
+		s.arm(endWithin, timer{kind: timerAssoc, id: uint64(a.id), n: a.messages})
+	}
+}
+
+// checkAssoc closes a connection whose message has not ended.
+func (s *Server) checkAssoc(id ConnID, messages int) {
+	if a := s.assocs[id]; a != nil && a.in.Waiting() > 0 && a.messages == messages {
+		s.spoilt(a, "a message without an end")
+	}
+}
+
+// officeMessage takes one message of an office.
+func (s *Server) officeMessage(a *assoc, m *office.Message) {
+	switch m.Type {
+	case office.Answer:
+		if k := a.find(m.Call); k != nil {
+			if !office.GoodDescription(m.Description) {
+				s.send(a, &office.Message{Type: office.Release, Call: m.Call, Cause: office.CauseNormal, HasCause: true})
+				s.spoilt(a, "a description that cannot be read")
+				return
+			}
+			s.stands(k, m)
+			s.retire(a)
+		}
+	case office.Release:
+		s.released(a, m)
+	case office.GroupState:
+		load, err := m.Values(s.cfg.Settings.ReportFields)
+		if err != nil {
+			s.spoilt(a, err.Error())
+			return
+		}
+		s.ctl.Report(s.now, logic.Report{Office: a.to.id, OK: !m.HasCause || m.Cause == 1, Load: load})
+	case office.TestReport:
+		load, err := m.Values(s.cfg.Settings.ReportFields)
+		s.probeOver(m.Call, logic.Report{OK: err == nil && m.HasCause && m.Cause == 1, Load: load})
+	}
+}
+
+// find is the call whose attempt is out on a connection.
+func (a *assoc) find(wire uint64) *call {
+	for _, k := range a.open {
+		if k.wire == wire {
+			return k
+		}
+	}
+	return nil
+}
+
+// released takes a release: the end of an attempt, or of a call that stands.
+func (s *Server) released(a *assoc, m *office.Message) {
+	load, err := m.Values(s.cfg.Settings.ReportFields)
+	if err != nil {
+		s.spoilt(a, err.Error())
+		return
+	}
+	if k := a.find(m.Call); k != nil {
+		o := logic.Outcome{Status: logic.Reset, Note: notes[m.Note], Load: load}
+		if status, ok := statuses[m.Cause]; ok && m.HasCause {
+			o.Status = status
+		}
+		s.over(k, o)
+		s.retire(a)
+		return
+	}
+	k := s.byID[m.Call]
+	if k == nil || k.state != standing || k.at != a.to || k.on != a && k.on != nil && s.assocs[k.on.id] == k.on {
+		return // of an attempt that is over already
+	}
+	status := logic.Reset
+	if m.HasCause && m.Cause == office.CauseNormal {
+		status = logic.Ended
+	}
+	s.endStanding(k, status, max(1, m.Cause), load)
+}
+
+// statuses are the endings that the causes of a release before the answer stand for; any other is a reset.
+var statuses = map[byte]logic.Status{office.CauseNoCircuit: logic.Full, office.CauseBusy: logic.Faulted,
+	office.CauseResource: logic.Faulted, office.CauseTimer: logic.NotSent, office.CauseTemporary: logic.Reset}
+
+// notes are what the notes of a release tell.
+var notes = map[string]int{"blocked": logic.NoteCircuit, "bounced": logic.NoteTurnedBack, "swamped": logic.NoteProcessor,
+	"occupied": logic.NoteBusy, "far_swamped": logic.NoteBeyondFull}
+
+// releaseOffice releases a call that stands at its office, on the connection of its set-up or on any other.
+func (s *Server) releaseOffice(k *call, cause byte) {
+	a := k.on
+	if a == nil || s.assocs[a.id] != a || a.stuck {
+		a = k.at.best()
+	}
+	if a == nil {
+		k.at.owed = append(k.at.owed, release{k.wire, cause})
+		s.spare(k.at)
+		return
+	}
+	s.send(a, &office.Message{Type: office.Release, Call: k.wire, Cause: cause, HasCause: true})
+}
--- a/cmd/finchlatch/main.go
+++ b/cmd/finchlatch/main.go
@@ -12,6 +12,8 @@
 	"context"
 
 	"github.com/spf13/cobra"
+
+	"finchlatch/node"
 )
 
 // errBroken ends the program with status 1 after its report.
@@ -24,6 +26,9 @@
 		if !errors.Is(err, errBroken) {
 			fmt.Fprintln(os.Stderr, "finchlatch:", err)
 		}
+		if bad := (*node.ConfigError)(nil); errors.As(err, &bad) {
+			os.Exit(2)
+		}
 		os.Exit(1)
 	}
 }
@@ -31,6 +36,6 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "finchlatch", Short: "A call router over shared trunk groups, on M3UA and ISUP",
 		SilenceUsage: true, SilenceErrors: true}
-	c.AddCommand(serveCommand(), checkCommand(), tryCommand(), ctlCommand(), lookupCommand(), swarmCommand(), labCommand(), dimensionCommand(), versionCommand())
+	c.AddCommand(serveCommand(), nodeCommand(), checkCommand(), tryCommand(), ctlCommand(), lookupCommand(), swarmCommand(), labCommand(), dimensionCommand(), versionCommand())
 	return c
 }
--- a/router/router.go
+++ b/router/router.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"container/heap"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"time"
 
 	"finchlatch/ingress"
+	"finchlatch/internal/timing"
 	"finchlatch/isup"
 	"finchlatch/logic"
 	"finchlatch/m3ua"
@@ -34,8 +34,7 @@
 	leases     map[string]*call    // by routing number
 	askers     map[string]*asker
 	tokens     *rand.Rand
-	timers     timers
-	seq        uint64
+	timers     timing.Timers[timer]
 	now        time.Duration
 	todo       []func() // what the Controller must still be told, in order
 	touched    []*peer  // peers whose state machines may have something to say
@@ -168,17 +167,13 @@
 
 // Next tells when Advance has work; false: nothing waits.
 func (r *Router) Next() (time.Duration, bool) {
-	if len(r.timers) == 0 {
-		return 0, false
-	}
-	return r.timers[0].at, true
+	return r.timers.Next()
 }
 
 // Advance does what is due at the time now.
 func (r *Router) Advance(now time.Duration) {
 	r.now = max(r.now, now)
-	for len(r.timers) > 0 && r.timers[0].at <= now {
-		t := heap.Pop(&r.timers).(timer)
+	for _, t, ok := r.timers.Pop(now); ok; _, t, ok = r.timers.Pop(now) {
 		r.fire(t)
 		r.run()
 	}
@@ -343,7 +338,6 @@
 
 type timer struct {
 	at      time.Duration
-	seq     uint64
 	kind    timerKind
 	mark    string
 	call    uint64
@@ -352,9 +346,8 @@
 }
 
 func (r *Router) arm(at time.Duration, t timer) {
-	r.seq++
-	t.at, t.seq = at, r.seq
-	heap.Push(&r.timers, t)
+	t.at = at
+	r.timers.Arm(at, t)
 }
 
 func (r *Router) fire(t timer) {
@@ -386,18 +379,3 @@
 		}
 	}
 }
-
-type timers []timer
-
-func (h timers) Len() int { return len(h) }
-func (h timers) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h timers) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timers) Push(x any)   { *h = append(*h, x.(timer)) }
-func (h *timers) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return t
-}
--- a/server/server.go
+++ b/server/server.go
@@ -17,6 +17,7 @@
 
 	"finchlatch/config"
 	"finchlatch/enum"
+	"finchlatch/internal/link"
 	"finchlatch/logic"
 	"finchlatch/m3ua"
 	"finchlatch/router"
@@ -32,7 +33,7 @@
 	done     chan struct{} // closed when the loop has ended
 	stop     chan struct{} // closed to end at once
 	stopOnce sync.Once
-	links    map[router.LinkID]*link
+	links    map[router.LinkID]*link.Link
 	wg       sync.WaitGroup
 	listener net.Listener
 	console  net.Listener
@@ -78,7 +79,7 @@
 		}
 	}
 	s := &Server{cfg: cfg, log: log.With("exchange", cfg.Router.Name), inputs: make(chan input, 256),
-		done: make(chan struct{}), stop: make(chan struct{}), links: map[router.LinkID]*link{}}
+		done: make(chan struct{}), stop: make(chan struct{}), links: map[router.LinkID]*link.Link{}}
 	if err := s.measured(&settings); err != nil {
 		return nil, err
 	}
@@ -215,14 +216,14 @@
 
 func (s *Server) flushLinks() {
 	deadline := time.Now().Add(flushTime)
-	var links []*link
+	var links []*link.Link
 	_ = s.Do(func(*router.Router, time.Duration) {
 		for _, l := range s.links {
 			links = append(links, l)
 		}
 	})
 	for _, l := range links {
-		l.drain(deadline)
+		l.Drain(deadline)
 	}
 }
 
@@ -334,13 +335,13 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case router.Write:
-			if l := s.links[e.Link]; l != nil && !l.write(e.Bytes, s.cfg.QueueBytes) {
+			if l := s.links[e.Link]; l != nil && !l.Write(e.Bytes, s.cfg.QueueBytes) {
 				s.log.Warn("peer does not read: connection closed", "peer", s.router.LinkName(e.Link))
-				l.close()
+				l.Close()
 			}
 		case router.Close:
 			if l := s.links[e.Link]; l != nil {
-				l.close()
+				l.Close()
 			}
 		case router.Log:
 			s.logLine(e)
@@ -370,7 +371,7 @@
 
 func (s *Server) closeLinks() {
 	for _, l := range s.links {
-		l.close()
+		l.Close()
 	}
 }
 
@@ -379,22 +380,16 @@
 
 func (s *Server) accept() {
 	defer s.wg.Done()
-	places := make(chan struct{}, max(1, s.cfg.Connections))
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		select {
-		case places <- struct{}{}:
-		default:
+	places := make(link.Places, max(1, s.cfg.Connections))
+	link.Accept(s.listener, func(conn net.Conn) {
+		if !places.Take() {
 			s.refuse(conn, &m3ua.Fault{Code: m3ua.ErrBlocking, Text: "too many connections"})
-			continue
+			return
 		}
 		s.wg.Add(1)
 		go func() {
 			defer s.wg.Done()
-			defer func() { <-places }()
+			defer places.Leave()
 			stopped := context.AfterFunc(s.context(), func() { conn.Close() })
 			id, first, err := s.identify(conn)
 			if !stopped() || err != nil {
@@ -406,11 +401,11 @@
 			}
 			s.serve(id, conn, first)
 		}()
-	}
+	})
 }
 
 // context ends with the server.
-func (s *Server) context() context.Context { return stopContext{s.stop} }
+func (s *Server) context() context.Context { return link.Context(s.stop) }
 
 // reject tells a connection what is wrong with it.
 func reject(conn net.Conn, fault *m3ua.Fault) {
@@ -489,28 +484,25 @@
 
 // serve works on one connection until it ends.
 func (s *Server) serve(id router.LinkID, conn net.Conn, first []byte) {
-	l := newLink(conn)
-	if t, ok := conn.(*net.TCPConn); ok {
-		_ = t.SetNoDelay(true)
-	}
+	l := link.New(conn)
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
-		l.writeLoop()
+		l.WriteLoop()
 	}()
 	if !s.post(func(now time.Duration) { s.up(now, id, l, first) }) {
-		l.close()
+		l.Close()
 		return
 	}
 	s.read(id, l)
-	l.close()
+	l.Close()
 	s.post(func(now time.Duration) { s.down(now, id, l) })
 }
 
-func (s *Server) up(now time.Duration, id router.LinkID, l *link, first []byte) {
+func (s *Server) up(now time.Duration, id router.LinkID, l *link.Link, first []byte) {
 	if old := s.links[id]; old != nil { // the newest connection of a peer counts
-		old.close()
-		s.step(router.Input{At: now, Kind: router.InDisconnected, Link: id, Count: old.written()})
+		old.Close()
+		s.step(router.Input{At: now, Kind: router.InDisconnected, Link: id, Count: old.Written()})
 	}
 	s.links[id] = l
 	s.step(router.Input{At: now, Kind: router.InConnected, Link: id})
@@ -519,10 +511,10 @@
 	}
 }
 
-func (s *Server) down(now time.Duration, id router.LinkID, l *link) {
+func (s *Server) down(now time.Duration, id router.LinkID, l *link.Link) {
 	if s.links[id] == l {
 		delete(s.links, id)
-		s.step(router.Input{At: now, Kind: router.InDisconnected, Link: id, Count: l.written()})
+		s.step(router.Input{At: now, Kind: router.InDisconnected, Link: id, Count: l.Written()})
 	}
 }
 
@@ -533,10 +525,10 @@
 
 // read hands what comes to the loop, one piece at a time: a peer that sends faster than calls are handled is
 // slowed down by TCP.
-func (s *Server) read(id router.LinkID, l *link) {
+func (s *Server) read(id router.LinkID, l *link.Link) {
 	for {
 		buf := buffers.Get().(*[readSize]byte)
-		n, err := l.conn.Read(buf[:])
+		n, err := l.Conn().Read(buf[:])
 		if n > 0 {
 			came := s.now()
 			ok := s.post(func(now time.Duration) {
