--- a/sip/sip.go
+++ b/sip/sip.go
@@ -85,7 +85,10 @@
 	}
 	end += f.header
 	f.header = end
-	m, length, fault := parseHead(f.buf[:min(end, Most)])
+	if end > Most {
+		return nil, &Fault{Status: 513, Text: fmt.Sprintf("a header of %d bytes", end)}
+	}
+	m, length, fault := parseHead(f.buf[:end])
 	if fault != nil {
 		return nil, fault
 	}
