A lost answer is no queue: delay and silence are read from attempts that none has passed

Logs showed exchanges taken for silent while they answered, then for cold. A probe at every refusal (2,790 of them): 2,347 were 'pressed' with 40 to 130 free circuits, own delay 15 to 30 ms, and the exchange's delay equal to the age of one attempt without an answer. Ruled out: CPU (0.14 of 0.28 s in the worst second), circuits, the own processor. At fault: delayOf and quiet in logic/evidence.go took the oldest attempt out for the head of a queue. Change: a processor works in order, so an attempt that a later one has passed is in no queue; it counts neither for delay nor for silence, and once three later ones have passed it and its time is long over it is called off and tried again. It should help wherever single answers get lost; it hurts where an exchange keeps no order. Rule 1: an office whose end of the set-up's connection had died released on another open one; that was passed over (callserver/offices.go, released). It counts on any connection but those of earlier attempts.

--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -255,6 +255,24 @@
 	}
 }
 
+// The danger: an office whose end of the set-up's connection has died, unseen here, releases on any other open one.
+func TestReleaseOnAnotherConnectionOfTheOffice(t *testing.T) {
+	b := newBench(t, nil)
+	b.up("10.0.0.1:5080")
+	c := b.caller()
+	b.say(c, invite(7, "dest:1;width:1"))
+	a, _ := b.setUp(7)
+	b.office(a, answer(7))
+	same(t, "caller hears", b.heard(c), "200")
+	other := b.up("10.0.0.2:5080")
+	b.office(other, ends(7, office.CauseNormal, "")) // of another office
+	same(t, "a stranger's release", b.heard(c))
+	b.say(c, invite(8, "dest:1;width:1"))
+	other = b.up("10.0.0.1:5080")
+	b.office(other, ends(7, office.CauseNormal, ""))
+	same(t, "the office's release", b.heard(c), "BYE")
+}
+
 func TestReleaseWaitsForAConnectionFromCallers(t *testing.T) {
 	b := newBench(t, nil)
 	b.up("10.0.0.1:5080")
--- a/callserver/effects.go
+++ b/callserver/effects.go
@@ -31,6 +31,29 @@
 	Within time.Duration
 }
 
+// Act is what a Decision does.
+type Act byte
+
+// Acts of the Controller.
+const (
+	ActSend Act = iota
+	ActRefuse
+	ActFail
+	ActCancel
+)
+
+// String names the act.
+func (a Act) String() string { return [...]string{"send", "refuse", "fail", "cancel"}[a] }
+
+// Decision tells what the Controller decided, for those who look on: it is carried out by other effects.
+type Decision struct {
+	At     time.Duration
+	Call   uint64 // by which the Controller knows it
+	Act    Act
+	Office string
+	Within time.Duration
+}
+
 // AskJournal asks the journal service again, for what came after From.
 type AskJournal struct{ From uint64 }
 
@@ -42,6 +65,7 @@
 }
 
 func (Write) effect()      {}
+func (Decision) effect()   {}
 func (Close) effect()      {}
 func (Dial) effect()       {}
 func (AskJournal) effect() {}
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -351,7 +351,7 @@
 		return
 	}
 	k := s.byID[m.Call]
-	if k == nil || k.state != standing || k.at != a.to || k.on != a && k.on != nil && s.assocs[k.on.id] == k.on {
+	if k == nil || k.state != standing || k.at != a.to || slices.Contains(k.past, a.id) {
 		return // of an attempt that is over already
 	}
 	status := logic.Reset
--- /dev/null
+++ b/internal/rulecheck/platform.go
@@ -0,0 +1,136 @@
+package rulecheck
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Platform judges the five rules on the platform's sockets from what passed on them alone: what callers sent and
+// heard, what reached offices and came back, and what the journal service told. Times may be of any one clock.
+type Platform struct {
+	Release  time.Duration // rule 5
+	Grace    time.Duration // rule 3
+	Slack    time.Duration // every time limit is longer by this
+	TipAfter time.Duration // rule 4: a window,
+	Cold     float64       // and how many set-ups in it push an office over that has just started
+	calls    map[uint64]*platformCall
+	told     map[string]time.Duration
+	started  map[string]time.Duration
+	setUps   map[string][]time.Duration
+	breaches []string
+}
+
+type platformCall struct {
+	due      time.Duration
+	over     bool // answered, or given up by the caller
+	answered bool
+	at       string // office of the attempt that is out
+	broken   time.Duration
+	wait     bool // the release is awaited
+}
+
+// NewPlatform makes a checker.
+func NewPlatform(release, grace, slack time.Duration) *Platform {
+	return &Platform{Release: release, Grace: grace, Slack: slack, calls: map[uint64]*platformCall{}, told: map[string]time.Duration{},
+		started: map[string]time.Duration{}, setUps: map[string][]time.Duration{}}
+}
+
+func (p *Platform) breach(at time.Duration, rule int, call uint64, format string, a ...any) {
+	p.breaches = append(p.breaches, fmt.Sprintf("%v: rule %d: call %016x: %s", at, rule, call, fmt.Sprintf(format, a...)))
+}
+
+// Taken tells of a set-up that reached the call server whole.
+func (p *Platform) Taken(at time.Duration, call uint64, patience time.Duration) {
+	p.calls[call] = &platformCall{due: at + patience}
+}
+
+// GivenUp tells that a caller has stopped waiting: no answer is owed.
+func (p *Platform) GivenUp(call uint64) {
+	if c := p.calls[call]; c != nil {
+		c.over = true
+	}
+}
+
+// Final tells of a final answer.
+func (p *Platform) Final(at time.Duration, call uint64, status int) {
+	c := p.calls[call]
+	switch {
+	case c == nil:
+		p.breach(at, 1, call, "an answer to a call that was never taken")
+		return
+	case c.answered:
+		p.breach(at, 1, call, "a second final answer")
+	case at > c.due+p.Slack && !c.over:
+		p.breach(at, 1, call, "an answer %v late", at-c.due)
+	}
+	c.over, c.answered = true, true
+}
+
+// SetUp tells of a set-up that reached an office.
+func (p *Platform) SetUp(at time.Duration, office string, call uint64) {
+	c := p.calls[call]
+	if c == nil {
+		p.breach(at, 1, call, "a set-up of a call that was never taken")
+		return
+	}
+	if c.over && c.answered {
+		p.breach(at, 1, call, "a set-up after the final answer")
+	}
+	if c.at != "" {
+		p.breach(at, 2, call, "a set-up at %s while one is out at %s", office, c.at)
+	}
+	if told, ok := p.told[office]; ok && at > told+p.Grace+p.Slack {
+		p.breach(at, 3, call, "a set-up at %s, told %v before", office, at-told)
+	}
+	if c.wait && at < c.broken+p.Release {
+		p.breach(at, 5, call, "a set-up %v after a broken one", at-c.broken)
+	}
+	c.at, c.wait = office, false
+	if p.TipAfter > 0 {
+		p.load(at, office, call)
+	}
+}
+
+// load judges rule 4 on a window that ends now.
+func (p *Platform) load(at time.Duration, office string, call uint64) {
+	p.setUps[office] = slices.DeleteFunc(append(p.setUps[office], at), func(t time.Duration) bool { return t <= at-p.TipAfter })
+	if started, ok := p.started[office]; ok && at < started+p.TipAfter && float64(len(p.setUps[office])) > p.Cold {
+		p.breach(at, 4, call, "%d set-ups at %s within %v of its start", len(p.setUps[office]), office, at-started)
+	}
+}
+
+// End tells that an attempt has ended: with an answer, a refusal, or broken (timed out, reset, cancelled).
+func (p *Platform) End(at time.Duration, office string, call uint64, broken bool) {
+	if c := p.calls[call]; c != nil && c.at == office {
+		c.at = ""
+		if broken {
+			c.broken, c.wait = at, true
+		}
+	}
+}
+
+// Told tells that the journal service told of an office that drains or is gone.
+func (p *Platform) Told(at time.Duration, office string) {
+	if _, ok := p.told[office]; !ok {
+		p.told[office] = at
+	}
+}
+
+// Started tells of an office that has just started.
+func (p *Platform) Started(at time.Duration, office string) { p.started[office] = at }
+
+// Breaches ends the watch and gives all that was broken.
+func (p *Platform) Breaches(at time.Duration) []string {
+	var lost []uint64
+	for id, c := range p.calls {
+		if !c.over && at > c.due+p.Slack {
+			lost = append(lost, id)
+		}
+	}
+	slices.Sort(lost)
+	for _, id := range lost {
+		p.breach(at, 1, id, "no final answer")
+	}
+	return p.breaches
+}
--- /dev/null
+++ b/internal/rulecheck/platform_test.go
@@ -0,0 +1,69 @@
+package rulecheck
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func newPlatform() *Platform {
+	p := NewPlatform(200*ms, time.Second, 50*ms)
+	p.TipAfter, p.Cold = 3*time.Second, 5
+	p.Taken(0, 1, 3*time.Second)
+	return p
+}
+
+func TestPlatformKeepsQuietWhereRulesAreKept(t *testing.T) {
+	p := newPlatform()
+	p.SetUp(1*ms, "a", 1)
+	p.End(100*ms, "a", 1, true)
+	p.SetUp(301*ms, "a", 1)
+	p.Told(400*ms, "a")
+	p.End(401*ms, "a", 1, false)
+	p.Taken(500*ms, 2, time.Second)
+	p.SetUp(1400*ms, "a", 2)
+	p.GivenUp(2)
+	p.Final(402*ms, 1, 200)
+	if got := p.Breaches(10 * time.Second); len(got) != 0 {
+		t.Fatal(got)
+	}
+}
+
+// Each rule broken alone is found.
+func TestPlatformFindsEachBreach(t *testing.T) {
+	for name, tt := range map[string]struct {
+		rule string
+		play func(p *Platform)
+	}{
+		"no answer":        {"rule 1", func(p *Platform) {}},
+		"a late answer":    {"rule 1", func(p *Platform) { p.Final(3100*ms, 1, 503) }},
+		"two answers":      {"rule 1", func(p *Platform) { p.Final(1*ms, 1, 503); p.Final(2*ms, 1, 200) }},
+		"after the answer": {"rule 1", func(p *Platform) { p.Final(1*ms, 1, 503); p.SetUp(2*ms, "a", 1) }},
+		"nobody's call":    {"rule 1", func(p *Platform) { p.Final(1*ms, 1, 503); p.SetUp(2*ms, "a", 9) }},
+		"two attempts":     {"rule 2", func(p *Platform) { p.SetUp(1*ms, "a", 1); p.SetUp(2*ms, "b", 1); p.Final(3*ms, 1, 200) }},
+		"a drained office": {"rule 3", func(p *Platform) { p.Told(0, "a"); p.SetUp(1100*ms, "a", 1); p.Final(1200*ms, 1, 200) }},
+		"a cold office": {"rule 4", func(p *Platform) {
+			p.Started(0, "a")
+			for i := range uint64(6) {
+				p.Taken(0, 10+i, 3*time.Second)
+				p.SetUp(time.Duration(i)*ms, "a", 10+i)
+				p.GivenUp(10 + i)
+			}
+			p.Final(1*ms, 1, 200)
+		}},
+		"no release": {"rule 5", func(p *Platform) {
+			p.SetUp(1*ms, "a", 1)
+			p.End(100*ms, "a", 1, true)
+			p.SetUp(250*ms, "a", 1)
+			p.Final(300*ms, 1, 200)
+		}},
+	} {
+		p := newPlatform()
+		tt.play(p)
+		if got := p.Breaches(10 * time.Second); len(got) != 1 || !strings.Contains(got[0], tt.rule) {
+			t.Errorf("%s: %q, not one breach of %s", name, got, tt.rule)
+		}
+	}
+}
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -16,7 +16,7 @@
 		return
 	}
 	k.out, k.waiting, k.at, k.office, k.sent, k.twoLeg = true, false, e, e.office.ID, c.now, twoLeg
-	k.attempts, k.part = k.attempts+1, k.Class
+	k.attempts, k.part, k.passed = k.attempts+1, k.Class, 0
 	if twoLeg {
 		k.part = len(c.set.Classes)
 	}
@@ -65,6 +65,7 @@
 	}
 	if !k.twoLeg || k.Transit || c.set.Pools {
 		c.observe(k.at, o.Took, true)
+		c.overtaken(k)
 	}
 	if k.twoLeg && !k.Transit {
 		c.reweigh(k, raise)
--- a/logic/evidence.go
+++ b/logic/evidence.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -47,17 +48,24 @@
 // Peer takes a message of another call server. Nothing is made of it: calls are decided on own evidence.
 func (c *Controller) Peer(now time.Duration, from int, data []byte) { c.at(now) }
 
-// delayOf is the set-up delay to expect: the fading mean, or the age of the oldest direct attempt out.
+// delayOf is the set-up delay to expect: the fading mean, or the age of the oldest direct attempt in the queue.
 func (c *Controller) delayOf(e *exchange) time.Duration {
 	d := time.Duration(float64(e.delay) * math.Exp2(-float64(c.now-e.delayAt)/float64(halfLife)))
-	if len(e.out) > 0 {
-		if age := c.seen - e.out[0].sent; age > d && !e.out[0].twoLeg {
-			d = age
-		}
+	if k := e.oldest(); k != nil && !k.twoLeg {
+		d = max(d, c.seen-k.sent)
 	}
 	return d
 }
 
+// oldest is the oldest attempt out that no later one has passed: a processor works in order, so an older one is in
+// no queue and its answer is lost or stuck. Taken for a queue, one lost answer would turn all calls away.
+func (e *exchange) oldest() *call {
+	if i := slices.IndexFunc(e.out, func(k *call) bool { return k.sent >= e.passed }); i >= 0 {
+		return e.out[i]
+	}
+	return nil
+}
+
 // ownDelay is the delay that all answers share, most likely the own processor's. Each quicker one lowers it.
 func (c *Controller) ownDelay() time.Duration {
 	if c.now-c.ownAt > 2*halfLife {
@@ -93,17 +101,38 @@
 // quiet tells whether an exchange has gone silent: something is out and nothing came back for far longer than
 // set-ups take. Calls and circuits would pile up behind it; so only single trials go there, at growing gaps.
 func (c *Controller) quiet(e *exchange) bool {
-	if e.silent || len(e.out) == 0 {
+	k := e.oldest()
+	if e.silent || k == nil {
 		return e.silent
 	}
-	since := max(e.out[0].sent, e.heard)
-	limit := max(time.Duration(silentPart*float64(c.aim)), 4*e.delay)
-	if c.seen-since > limit {
+	if since := max(k.sent, e.heard); c.seen-since > c.patience(e) {
 		c.mute(e, since)
 	}
 	return e.silent
 }
 
+// patience is how long an answer of an exchange may take before something is wrong.
+func (c *Controller) patience(e *exchange) time.Duration {
+	return max(time.Duration(silentPart*float64(c.aim)), 4*e.delay)
+}
+
+// overtaken calls off attempts that several later ones have passed, for another try in time. The danger: answers
+// lost on the way or with their connection. It should help with parts of an exchange that hang, too; it hurts where
+// one keeps no order.
+func (c *Controller) overtaken(by *call) {
+	by.at.passed = max(by.at.passed, by.sent)
+	for _, k := range by.at.out {
+		if k.sent >= by.sent || k.twoLeg || k.Transit || !c.set.CanCancel {
+			continue
+		}
+		if k.passed++; k.passed == enough && c.now-k.sent > c.patience(by.at) {
+			c.host.Cancel(k.ID, k.attempts-1)
+		} else if k.passed == enough {
+			k.passed--
+		}
+	}
+}
+
 // mute leaves an exchange to single trials.
 func (c *Controller) mute(e *exchange, since time.Duration) {
 	if !e.silent {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,7 @@
 	shedBase    = 0.2 // a two-leg call or one of no worth is shed past this part of its aim,
 	shedWorth   = 0.5 // and the worthiest at this much more
 	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
+	enough      = 3   // later answers that show that one is lost
 	firstTrial  = time.Second
 	lastTrial   = 4 * time.Second
 	waitPart    = 0.7                    // a blocked call waits for a circuit for this part of its aim
@@ -69,6 +70,7 @@
 	office    string
 	sent      time.Duration
 	attempts  int
+	passed    int // later attempts at the same exchange that were answered before this one
 	part      int // what it counts in of the group's use: its class, or the lowest for two-leg calls
 	// an attempt is out; it stands; the final answer is given; it goes over a tandem; it may have run
 	out, stands, answered, twoLeg, mayRun, waited, waiting bool
@@ -90,6 +92,7 @@
 	out, queue              []*call
 	silent, cold            bool
 	heard, silentFrom       time.Duration
+	passed                  time.Duration // when the latest direct attempt that was answered was sent
 	nextTrial, trialGap     time.Duration
 	delay, delayAt          time.Duration
 	eps, tokens             float64
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -568,3 +568,53 @@
 		t.Error("the Controller sees what the caller writes later")
 	}
 }
+
+// Guards against one lost answer that is taken for a queue or for silence: calls to its exchange were all turned away
+// until the attempt's time was over. It is called off once later ones have passed it, and tried again.
+func TestOneLostAnswerPressesNobody(t *testing.T) {
+	b := quietBed(t, func(s *Settings) { s.CanCancel = true })
+	b.call(0, 1, "lost")
+	lost := b.next
+	for i := range 20 {
+		b.h.now += 100 * time.Millisecond
+		if got := b.call(0, 1, fmt.Sprint("n", i)); got != "send 1" {
+			t.Fatalf("call %d behind a lost answer: %q", i, got)
+		}
+		b.h.now += 20 * time.Millisecond
+		b.stand(b.next)
+	}
+	e := b.c.exchange(1, false)
+	if d := b.c.delayOf(e); d > 100*time.Millisecond || b.c.quiet(e) {
+		t.Errorf("delay %v, silent %v", d, e.silent)
+	}
+	cancels := 0
+	for _, a := range b.h.acts {
+		if strings.HasPrefix(a, fmt.Sprintf("cancel %d", lost)) {
+			cancels++
+		}
+	}
+	if cancels != 1 {
+		t.Errorf("the overtaken attempt was called off %d times", cancels)
+	}
+	b.fails(lost, Cancelled, 0)
+	b.h.now += b.c.set.Release + 2*time.Millisecond
+	b.c.Timer(b.h.now, fmt.Sprint("c", lost))
+	if k := b.h.calls[lost]; k.attempts != 2 || !k.out {
+		t.Errorf("the call was not tried again: %+v", k)
+	}
+}
+
+// A list that goes on naming new offices must not grow without end.
+func TestGoneOfficesAreForgotten(t *testing.T) {
+	b := quietBed(t, nil)
+	known := len(b.c.offices)
+	for i := range 50 {
+		b.h.now += 6 * time.Second
+		b.c.List(b.h.now, ListUpdate, []Office{{ID: fmt.Sprint("new", i), Exchange: 1}})
+		b.c.List(b.h.now, ListUpdate, []Office{{ID: fmt.Sprint("new", i), Exchange: 1, State: Gone}})
+		b.c.Timer(b.h.now, "p")
+	}
+	if n, m := len(b.c.offices), len(b.c.exchange(1, false).offices); n != known || m != 1 {
+		t.Errorf("%d offices are kept, %d of them at one exchange", n, m)
+	}
+}
--- a/node/config.go
+++ b/node/config.go
@@ -80,10 +80,13 @@
 // Parse reads and checks the bytes of a configuration.
 func Parse(raw []byte) (*Config, error) {
 	var file struct {
-		Name, Listen, Journal, Seed string
-		Limits                      Limits
-		Known                       *feed.Known
-		Settings                    json.RawMessage
+		Name     string          `json:"name"`
+		Listen   string          `json:"listen"`
+		Journal  string          `json:"journal"`
+		Seed     string          `json:"seed"`
+		Limits   Limits          `json:"limits"`
+		Known    *feed.Known     `json:"known"`
+		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(raw, &file); err != nil {
 		var wrong *json.UnmarshalTypeError
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,385 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"finchlatch/feed"
+	"finchlatch/internal/platform"
+	"finchlatch/internal/rulecheck"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const settingsText = `{"tick_ns":1000000,"instances":3,"my_number":0,"family_info":{"home_no":0,"layout":"meshed",
+ "mean_hold_ns":[2000000000],"channels_needed":[1],"release_ns":200000000},"limits":{"cancel":true,"max_attempts":5,
+ "connect_timeout_ns":500000000,"max_open":2000,"max_retry_after_ns":2000000000},"reporting":{"fields":["spare","total"]},
+ "rules":{"drain_grace_ns":1000000000,"tip_after_ns":3000000000,"overload_factor":2.0,"cold_from":0.3,"cold_ns":10000000000},
+ "classes":[{"name":"status-check","worth":1,"late_share":0.25,"target_ns":1200000000,"deadline_ns":3000000000,"effect":"safe"}]}`
+
+// stage is a Node with stand-ins around it.
+type stage struct {
+	t       *testing.T
+	world   *platform.World
+	node    *Node
+	ended   chan error
+	journal *platform.Journal
+	path    string
+	offices []*platform.Office
+	addr    string
+}
+
+func newStage(t *testing.T, deed func(call uint64, attempt int) platform.Deed) *stage {
+	t.Helper()
+	check := rulecheck.NewPlatform(200*time.Millisecond, time.Second, 50*time.Millisecond)
+	s := &stage{t: t, world: platform.NewWorld(check), ended: make(chan error, 1), path: filepath.Join(t.TempDir(), "config.json")}
+	for cell, id := range []string{"s-own", "s-a", "s-b"} {
+		o, err := s.world.NewOffice(id, cell, 300*time.Millisecond, deed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.offices = append(s.offices, o)
+	}
+	var err error
+	if s.journal, err = s.world.NewJournal(s.list(1, true, s.offices...)); err != nil {
+		t.Fatal(err)
+	}
+	s.write(s.journal.Addr)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	if s.node, err = New(s.path, log); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.node.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	s.addr = s.node.listener.Addr().String()
+	go func() { s.ended <- s.node.Run() }()
+	t.Cleanup(func() {
+		s.node.Kill()
+		select {
+		case <-s.ended:
+		case <-time.After(10 * time.Second):
+			t.Error("the node does not end")
+		}
+		s.world.Close()
+	})
+	return s
+}
+
+func (s *stage) list(pos uint64, complete bool, offices ...*platform.Office) feed.Event {
+	ev := feed.Event{Pos: pos, Hosts: feed.Hosts{Complete: complete}}
+	for _, o := range offices {
+		ev.Hosts.Members = append(ev.Hosts.Members, o.Member)
+	}
+	return ev
+}
+
+func (s *stage) write(journal string) {
+	s.t.Helper()
+	known, err := json.Marshal(feed.Known{Pos: 1, Entries: []feed.Event{s.list(1, true, s.offices...)}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","journal":%q,"seed":"8c1f","limits":{"cores":1,"memory_mb":64,"sockets":256},"known":%s,"settings":%s}`,
+		journal, known, settingsText)
+	if err := os.WriteFile(s.path, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *stage) dial() *platform.Caller {
+	s.t.Helper()
+	c, err := s.world.Dial(s.addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return c
+}
+
+// invite sends a set-up; the answer comes on the connection.
+func (s *stage) invite(c *platform.Caller, call uint64, dest int, patience time.Duration) {
+	s.t.Helper()
+	if err := c.Invite(call, dest, patience); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// await waits for something on a caller's connection.
+func (s *stage) await(c *platform.Caller, what string, is func(platform.Heard) bool) platform.Heard {
+	s.t.Helper()
+	limit := time.After(8 * time.Second)
+	for {
+		select {
+		case h, ok := <-c.Heard:
+			if !ok {
+				s.t.Fatalf("the connection ended before %s", what)
+			}
+			if is(h) {
+				return h
+			}
+		case <-limit:
+			s.t.Fatalf("no %s", what)
+		}
+	}
+}
+
+func (s *stage) judge() {
+	s.t.Helper()
+	s.world.Judge(func(at time.Duration, p *rulecheck.Platform) {
+		for _, b := range p.Breaches(at) {
+			s.t.Error(b)
+		}
+	})
+}
+
+func final(call uint64) func(platform.Heard) bool {
+	return func(h platform.Heard) bool { return h.Call == call && h.Method == "INVITE" && h.Status >= 200 }
+}
+
+// Offices do all that offices do; each call gets one answer in time, and no rule breaks.
+func TestCallsThroughAllDeeds(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, func(call uint64, attempt int) platform.Deed {
+		if attempt > 1 {
+			return platform.Stand
+		}
+		return platform.Deed(call) % platform.Deeds
+	})
+	const calls = 10 * uint64(platform.Deeds)
+	callers := []*platform.Caller{s.dial(), s.dial(), s.dial()}
+	pace := time.NewTicker(15 * time.Millisecond)
+	defer pace.Stop()
+	for id := uint64(1); id <= calls; id++ {
+		<-pace.C
+		s.invite(callers[id%3], id, 1+int(id)%2, 2500*time.Millisecond)
+		if id%17 == 0 {
+			if err := callers[id%3].Cancel(id); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	stood, byes := 0, 0
+	for i, c := range callers {
+		left := 0
+		for id := uint64(1); id <= calls; id++ {
+			if id%3 == uint64(i) && id%17 != 0 {
+				left++
+			}
+		}
+		for left > 0 || byes < stood {
+			h := s.await(c, fmt.Sprintf("%d answers", left), func(h platform.Heard) bool { return true })
+			switch {
+			case h.Method == "BYE" && h.Status == 0:
+				byes++
+			case h.Method == "INVITE" && h.Call%17 != 0:
+				left--
+				if h.Status == 200 {
+					stood++
+					if h.Body != platform.Description {
+						t.Errorf("call %d: description %q", h.Call, h.Body)
+					}
+				}
+			}
+		}
+	}
+	if stood < int(calls)/3 {
+		t.Errorf("only %d of %d calls stood", stood, calls)
+	}
+	s.judge()
+}
+
+// The journal breaks off, falls silent and moves; what it tells in the end is kept.
+func TestJournalBreaksAndMoves(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, func(uint64, int) platform.Deed { return platform.Stand })
+	asked := func(j *platform.Journal) uint64 {
+		select {
+		case pos := <-j.Asked:
+			return pos
+		case <-time.After(5 * time.Second):
+			t.Fatal("the journal is not asked")
+			return 0
+		}
+	}
+	if pos := asked(s.journal); pos != 1 {
+		t.Fatalf("first asked for what came after %d", pos)
+	}
+	broken, err := s.world.Break()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.write(broken.Addr)
+	s.node.Reload()
+	if pos := asked(broken); pos != 1 {
+		t.Fatalf("the new address is asked for what came after %d", pos)
+	}
+	if pos := asked(broken); pos != 1 {
+		t.Fatalf("after half an event: asked for what came after %d", pos)
+	}
+	if err := os.WriteFile(s.path, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.node.Reload() // a bad file is told, and the old one kept
+	asked(broken)
+	second, err := s.world.NewJournal(s.list(1, true, s.offices...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.write(second.Addr)
+	s.node.Reload()
+	if pos := asked(second); pos != 1 {
+		t.Fatalf("the last address is asked for what came after %d", pos)
+	}
+	second.Hush(true)
+	if pos := asked(second); pos != 1 { // silence is a break
+		t.Fatalf("after a silence: asked for what came after %d", pos)
+	}
+	second.Hush(false)
+	s.offices[1].Member.Phase = feed.Draining
+	s.world.Judge(func(at time.Duration, p *rulecheck.Platform) { p.Told(at, "s-a") })
+	second.Tell(s.list(2, false, s.offices[1]))
+	c := s.dial()
+	limit := time.After(5 * time.Second)
+	for id := uint64(1); ; id++ { // until the drain has come through
+		s.invite(c, id, 1, time.Second)
+		if h := s.await(c, "an answer", final(id)); h.Status == 503 {
+			break
+		}
+		select {
+		case <-limit:
+			t.Fatal("calls still go to an office that drains")
+		default:
+		}
+	}
+	s.judge()
+}
+
+// A drain answers what was taken before it and meanwhile, and then ends.
+func TestDrainAnswersWhatWasTaken(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, func(call uint64, _ int) platform.Deed {
+		if call == 1 {
+			return platform.Mute
+		}
+		return platform.Stand
+	})
+	c := s.dial()
+	s.invite(c, 1, 1, 1500*time.Millisecond)
+	s.node.Leave()
+	s.invite(c, 2, 2, time.Second)
+	d := s.dial()
+	s.invite(d, 3, 2, time.Second)
+	if h := s.await(c, "the answer of call 2", final(2)); h.Status != 200 {
+		t.Errorf("call 2: %d", h.Status)
+	}
+	if h := s.await(d, "the answer of call 3", final(3)); h.Status != 200 {
+		t.Errorf("call 3: %d", h.Status)
+	}
+	s.await(c, "the answer of call 1", final(1))
+	select {
+	case err := <-s.ended:
+		s.ended <- err
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(4 * time.Second):
+		t.Fatal("the drain does not end")
+	}
+	s.judge()
+}
+
+// Strangers get a refusal, an error or a close within 3 s, and callers do not notice them.
+func TestStrangers(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, func(uint64, int) platform.Deed { return platform.Stand })
+	begun := time.Now()
+	var strangers []net.Conn
+	head := "INVITE sip:1@net SIP/2.0\r\nCall-ID: 00000000000000aa\r\nCSeq: 1 INVITE\r\nX-Cos: status-check\r\nX-Timer-Ms: 900\r\n"
+	for _, text := range []string{"", "\x00\x01\x02\r\n\r\n", head, head + "Content-Length: 60000000\r\n\r\nabc", head + "Content-Length: -1\r\n\r\n",
+		head + "Content-Length: 4\r\n\r\nhalf", head + "X-Legs: dest:1e99\r\nContent-Length: 0\r\n\r\n",
+		strings.Replace(head, "status-check", "gold", 1) + "Content-Length: 0\r\n\r\n", strings.Replace(head, "900", "NaN", 1) + "Content-Length: 0\r\n\r\n",
+		strings.Repeat("x", 40000), "BREW sip:1@net SIP/2.0\r\nCall-ID: 1\r\nCSeq: 1 BREW\r\nContent-Length: 0\r\n\r\n"} {
+		for range 8 {
+			conn, err := net.Dial("tcp", s.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(begun.Add(3 * time.Second))
+			_, _ = io.WriteString(conn, text)
+			strangers = append(strangers, conn)
+		}
+	}
+	c := s.dial()
+	for id := uint64(1); id <= 50; id++ {
+		s.invite(c, id, 1+int(id)%2, 2*time.Second)
+	}
+	for id := uint64(1); id <= 50; id++ {
+		if h := s.await(c, "an answer", func(h platform.Heard) bool { return h.Method == "INVITE" }); h.Status != 200 {
+			t.Errorf("call %d: %d", h.Call, h.Status)
+		}
+	}
+	for i, conn := range strangers {
+		got, err := io.ReadAll(io.LimitReader(conn, 12))
+		if len(got) == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("stranger %d got nothing in 3 s", i)
+		}
+		if strings.Contains(string(got), " 200") {
+			t.Errorf("stranger %d was served", i)
+		}
+	}
+	s.judge()
+}
+
+func TestConfigurationFaultsNameFileAndPath(t *testing.T) {
+	good := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","journal":"127.0.0.1:1","seed":"8c1f","limits":{"cores":0.25,"memory_mb":64,"sockets":256},`+
+		`"known":{"pos":1,"entries":[{"pos":1,"hosts":{"complete":true,"members":[]}}]},"settings":%s}`, settingsText)
+	if _, err := Parse([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for change, want := range map[string]string{
+		`"name":"n0"|"name":""`:                       "name: missing",
+		`"seed":"8c1f"|"seed":"xyz"`:                  "seed",
+		`"seed":"8c1f"|"seed":7`:                      "seed",
+		`"journal":"127.0.0.1:1"|"journal":"nowhere"`: "journal",
+		`"sockets":256|"sockets":3`:                   "limits.sockets",
+		`"cores":0.25|"cores":0`:                      "limits.cores",
+		`"known":{|"unknown":{`:                       "known: missing",
+		`"pos":1,"hosts"|"pos":0,"hosts"`:             "known.entries.0",
+		`"tick_ns":1000000|"tick":1`:                  "tick_ns",
+		`"tick_ns":1000000|"tick_ns":"soon"`:          "tick_ns",
+		`"worth":1,|"price":1,`:                       "classes.0.worth",
+		`"classes":[|"kinds":[`:                       "classes.count",
+		`"drain_grace_ns":1000000000,|`:               "rules.drain_grace_ns",
+		`{"name"|["name"`:                             "not JSON",
+	} {
+		from, to, _ := strings.Cut(change, "|")
+		text := strings.Replace(good, from, to, 1)
+		if text == good {
+			t.Fatalf("%q changes nothing", change)
+		}
+		path := filepath.Join(t.TempDir(), "c.json")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Load(path)
+		var bad *ConfigError
+		if !errors.As(err, &bad) || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), path) {
+			t.Errorf("%s: %v", change, err)
+		}
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none.json")); err == nil {
+		t.Error("a missing file is read")
+	}
+}
