--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,6 @@
 	shedBase    = 0.2 // a two-leg call or one of no worth is shed past this part of its aim,
 	shedWorth   = 0.5 // and the worthiest at this much more
 	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
-	hopeless    = 0.1 // share of set-ups without a fault, below which a fault is not tried again
 	enough      = 3   // later answers that show that one is lost
 	firstTrial  = time.Second
 	lastTrial   = 4 * time.Second
