Releases not said to be heard go out again when their connection ends; vanished machines

Change: releases that were not said to be heard go out again on another connection when theirs ends within a second, toward callers and offices alike. An office's release with the normal cause ends a call that stands whatever connection it comes on. An attempt that ends without a word from its office takes all silent connections to it out of use (each would have cost a trial when the machine returns). A try's patience is at most its class's deadline, and calls said to stand already are bounded: strangers could have asked for a year, and for any number.

--- a/callserver/callers.go
+++ b/callserver/callers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +26,38 @@
 	used   time.Duration // when it last carried a call; 0: never
 	proven bool          // a call stood on it
 	asked  time.Duration // since when a message is unfinished; 0: none is
+	byes   unheard
+}
+
+// unheard are the releases that went out on a connection lately and were not said to be heard: should it end now, they
+// may be lost with it, and go out again on another one.
+type unheard []release
+
+// release ends a call that stands, toward its caller or its office.
+type release struct {
+	at   time.Duration
+	call *call
+	// of a release toward an office, where the call itself is forgotten
+	wire  uint64
+	cause byte
+}
+
+// hearWithin is how long the end of a connection may take to show here.
+const hearWithin = time.Second
+
+func (u *unheard) add(r release) {
+	*u = append(slices.DeleteFunc(*u, func(o release) bool { return o.at < r.at-hearWithin }), r)
+}
+
+func (u *unheard) heard(wire uint64) {
+	*u = slices.DeleteFunc(*u, func(o release) bool { return o.wire == wire })
+}
+
+// lost takes those that may be lost.
+func (u *unheard) lost(now time.Duration) []release {
+	all := slices.DeleteFunc(*u, func(o release) bool { return o.at < now-hearWithin })
+	*u = nil
+	return all
 }
 
 // Limits on callers' connections; they are about syntax and sockets, not about calls.
@@ -32,7 +65,6 @@
 	sayWithin = 2 * time.Second // to say something whole at first, and to finish what was begun
 	firstWord = 100 * time.Millisecond
 	mostHops  = 1 << 16 // numbers of exchanges and widths are below
-	longest   = 10 * time.Minute
 )
 
 // accepted takes a new connection; where there are too many, the one that is longest without a call gives way.
@@ -93,6 +125,9 @@
 // callerGone gives up the set-ups of a connection that has ended. Calls that stand belong to no connection.
 func (s *Server) callerGone(c *caller) {
 	delete(s.callers, c.id)
+	for _, r := range c.byes.lost(s.now) {
+		s.releaseCaller(r.call, r.cause)
+	}
 	if c.open == 0 {
 		return
 	}
@@ -144,8 +179,11 @@
 // message takes one message of a caller.
 func (s *Server) message(c *caller, m *sip.Message) {
 	c.used = max(c.used, 1) // it speaks; only calls count as use
-	if m.Status > 0 {
-		return // to our BYE; free
+	if m.Status > 0 {       // to our BYE; free
+		if id, err := callID(m.CallID); err == nil {
+			c.byes.heard(id)
+		}
+		return
 	}
 	switch m.Method {
 	case "INVITE":
@@ -246,9 +284,13 @@
 		return in, err
 	}
 	ms, err := strconv.ParseUint(m.Get("X-Timer-Ms"), 10, 31)
-	if in.left = time.Duration(ms) * time.Millisecond; err != nil || in.left > longest {
+	if err != nil {
 		return in, fmt.Errorf("X-Timer-Ms: %.40q", m.Get("X-Timer-Ms"))
 	}
+	in.left = time.Duration(ms) * time.Millisecond
+	if in.class >= 0 { // a try is part of what a caller keeps up for; a stranger's year would be kept for a year
+		in.left = min(in.left, s.cfg.Settings.Classes[in.class].Deadline)
+	}
 	if !office.GoodDescription(in.body) {
 		return in, fmt.Errorf("body: a description that cannot be read")
 	}
@@ -388,5 +430,6 @@
 		s.owed = append(s.owed, k)
 		return
 	}
+	c.byes.add(release{at: s.now, call: k, wire: k.wire, cause: cause})
 	s.emit(Write{Conn: c.id, Bytes: sip.Request(nil, "BYE", "sip:"+k.number+"@net", k.callID, 2, int(cause))})
 }
--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -136,7 +136,7 @@
 	if k.on != nil && k.written {
 		k.past = append(k.past, k.on.id)
 	}
-	at, a := k.at, k.on
+	at, a, sent := k.at, k.on, k.sent
 	silent := k.written && a.heard <= k.sent && (o.Status == logic.TimedOut || o.Status == logic.Cancelled)
 	k.trying, k.on, k.written = false, nil, false
 	at.count.add(o.Status)
@@ -146,7 +146,7 @@
 	s.ctl.Outcome(s.now, o)
 	s.forget(k)
 	if silent {
-		s.doubt(a)
+		s.doubtSince(a, sent)
 	}
 }
 
@@ -157,6 +157,7 @@
 	delete(s.calls, k.id)
 	k.trying = false
 	if k.id == 0 {
+		s.claims--
 		return
 	}
 	o.Call, o.Attempt, o.Office, o.Took, o.Over = k.id, k.attempts-1, k.at.id, s.now-k.sent, true
@@ -184,6 +185,11 @@
 		}
 		return
 	}
+	if s.claims >= s.cfg.MaxOpen {
+		s.log(slog.LevelWarn, "too many calls are said to stand already", slog.String("from", c.from))
+		return
+	}
+	s.claims++
 	k := &call{wire: in.wire, callID: in.head.CallID, from: c, state: standing, name: in.name, number: in.number,
 		claimed: in.at}
 	s.byID[k.wire] = k
--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -53,6 +53,7 @@
 	byID     map[uint64]*call // by the id on the wire: open and standing
 	open     int              // calls without a final answer
 	lastCall uint64
+	claims   int // calls that were taken up as they stood
 	offices  map[string]*exchange
 	probes   map[uint64]*probe
 	owed     []*call // releases that no caller's connection could carry yet
--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -115,7 +115,9 @@
 	return id
 }
 
-func (b *bench) say(c ConnID, text string) { b.apply(Input{Kind: InReceive, Conn: c, Bytes: []byte(text)}) }
+func (b *bench) say(c ConnID, text string) {
+	b.apply(Input{Kind: InReceive, Conn: c, Bytes: []byte(text)})
+}
 
 // up brings up all connections that were asked for to an address and gives the last of them.
 func (b *bench) up(addr string) (last ConnID) {
@@ -255,6 +257,51 @@
 	}
 }
 
+// The danger: a release written on a connection whose end has not shown yet is lost with it.
+func TestReleasesLostWithTheirConnection(t *testing.T) {
+	b := newBench(t, nil)
+	b.up("10.0.0.1:5080")
+	c, d := b.caller(), b.caller()
+	for id := uint64(7); id <= 10; id++ {
+		b.say(c, invite(id, "dest:1;width:1"))
+		a, _ := b.setUp(id)
+		b.office(a, answer(id))
+		b.up("10.0.0.1:5080")
+	}
+	b.say(d, invite(11, "dest:9;width:1"))
+	b.heard(c)
+	b.heard(d)
+	a := b.s.byID[7].on
+	b.office(a.id, ends(7, office.CauseNormal, ""))
+	b.pass(1100 * time.Millisecond)
+	b.office(b.s.byID[8].on.id, ends(8, office.CauseNormal, ""))
+	b.office(b.s.byID[9].on.id, ends(9, office.CauseNormal, ""))
+	b.say(c, "SIP/2.0 200 OK\r\nCall-ID: 0000000000000009\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n")
+	same(t, "the first connection", b.heard(c), "BYE", "BYE", "BYE")
+	b.apply(Input{Kind: InClosed, Conn: c})
+	if got := string(b.wrote[d]); strings.Count(got, "BYE sip") != 1 || !strings.Contains(got, "Call-ID: 0000000000000008") {
+		t.Fatalf("the other connection hears %q", got)
+	}
+	on := b.s.byID[10].on
+	b.sent(on.id)
+	b.say(d, request("BYE", 10))
+	if got := b.sent(on.id); len(got) != 1 {
+		t.Fatalf("the office hears %v", got)
+	}
+	b.apply(Input{Kind: InClosed, Conn: on.id})
+	found := 0
+	for id := range b.s.assocs {
+		for _, m := range b.sent(id) {
+			if m.Type == office.Release && m.Call == 10 {
+				found++
+			}
+		}
+	}
+	if found != 1 {
+		t.Fatalf("the release went out again %d times", found)
+	}
+}
+
 // The danger: an office whose end of the set-up's connection has died, unseen here, releases on any other open one.
 func TestReleaseOnAnotherConnectionOfTheOffice(t *testing.T) {
 	b := newBench(t, nil)
@@ -521,6 +568,32 @@
 	}
 }
 
+// The danger: a machine that vanished leaves its connections open, and each trial after its return would go to one of
+// them; and strangers who ask for a year, or say that calls stand which do not.
+func TestVanishedMachineAndAbsurdPatience(t *testing.T) {
+	b := newBench(t, func(c *Config) { c.MaxOpen = 3 })
+	for id := uint64(1); id <= 3; id++ {
+		b.up("10.0.0.1:5080")
+		c := b.caller()
+		b.say(c, strings.Replace(invite(id, "dest:1;width:1"), "X-Timer-Ms: 3000", "X-Timer-Ms: 2147483647", 1))
+	}
+	b.up("10.0.0.1:5080")
+	b.pass(9100 * time.Millisecond)
+	if open, _ := b.s.Held(); open != 0 {
+		t.Fatalf("%d calls are open longer than their class allows", open)
+	}
+	if x := b.s.offices["s-1"]; x.anyUp() {
+		t.Fatal("connections that fell silent together are still in use")
+	}
+	c := b.caller()
+	for id := uint64(10); id < 20; id++ {
+		b.say(c, invite(id, "at:s-1"))
+	}
+	if _, standing := b.s.Held(); standing != 3 {
+		t.Fatalf("%d calls were taken up as standing, the limit is 3", standing)
+	}
+}
+
 func TestClaimsAfterARestart(t *testing.T) {
 	b := newBench(t, nil)
 	a := b.up("10.0.0.1:5080")
@@ -568,3 +641,55 @@
 			len(b.s.owed), len(b.s.assocs))
 	}
 }
+
+// BenchmarkCall is one call from its set-up to its release, as the core sees it.
+func BenchmarkCall(b *testing.B) {
+	s, err := New(Config{Settings: settings(), Seed: 1, ConnectTimeout: time.Second, MaxOpen: 1000, Callers: 10, Offices: 100, LogLevel: slog.LevelError})
+	if err != nil {
+		b.Fatal(err)
+	}
+	now, conn := start, ConnID(0)
+	s.Start(now, feed.Known{Pos: 1, Entries: []feed.Event{list(1, true, member("s-0", 0, feed.Serving), member("s-1", 1, feed.Serving))}})
+	take := func() (up []ConnID) {
+		for _, e := range s.Effects() {
+			switch e := e.(type) {
+			case Dial:
+				up = append(up, e.Conn)
+			case Write:
+				if s.assocs[e.Conn] != nil {
+					conn = e.Conn
+				}
+			}
+		}
+		return up
+	}
+	state, _ := office.Append(nil, &office.Message{Type: office.GroupState, Load: "spare:90;total:90"})
+	settle := func() {
+		for up := take(); len(up) > 0; up = take() {
+			for _, c := range up {
+				s.Apply(Input{At: now, Kind: InConnected, Conn: c})
+				s.Apply(Input{At: now, Kind: InReceive, Conn: c, Bytes: state})
+			}
+		}
+	}
+	settle()
+	caller := s.NewConn()
+	s.Apply(Input{At: now, Kind: InAccepted, Conn: caller})
+	id := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		now += 5 * time.Millisecond
+		s.Apply(Input{At: now, Kind: InReceive, Conn: caller, Bytes: []byte(invite(id, "dest:1;width:1;via:-1"))})
+		settle()
+		for _, m := range []*office.Message{answer(id), ends(id, office.CauseNormal, ""), {Type: office.GroupState, Load: "spare:90;total:90"}} {
+			raw, _ := office.Append(nil, m)
+			s.Apply(Input{At: now, Kind: InReceive, Conn: conn, Bytes: raw})
+		}
+		s.Apply(Input{At: now, Kind: InAdvance})
+		settle()
+	}
+	if s.totals.Stood < id-1 {
+		b.Fatalf("%d of %d calls stood", s.totals.Stood, id)
+	}
+}
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -25,12 +25,6 @@
 	count    count
 }
 
-// release is one that an office is owed.
-type release struct {
-	call  uint64
-	cause byte
-}
-
 // count is what passed between us and an office.
 type count struct{ sent, stood, full, faulted, timedOut, reset, noConnect, notSent, cancelled uint64 }
 
@@ -65,6 +59,7 @@
 	born     time.Duration
 	heard    time.Duration // when the last bytes came
 	messages int
+	releases unheard
 }
 
 // How connections to offices are kept; these are limits on sockets, not on calls.
@@ -169,10 +164,11 @@
 	a.up, a.born = true, s.now
 	x := a.to
 	x.failures = 0
-	for _, r := range x.owed {
-		s.send(a, &office.Message{Type: office.Release, Call: r.call, Cause: r.cause, HasCause: true})
-	}
+	owed := x.owed
 	x.owed = nil
+	for _, r := range owed {
+		s.releaseAt(x, nil, r.wire, r.cause)
+	}
 	waiting := x.waiting
 	x.waiting = nil
 	for _, k := range waiting {
@@ -224,6 +220,9 @@
 func (s *Server) assocGone(a *assoc) {
 	x := a.to
 	s.remove(a)
+	for _, r := range a.releases.lost(s.now) {
+		s.releaseAt(x, nil, r.wire, r.cause)
+	}
 	open := a.open
 	a.open = nil
 	for _, k := range open {
@@ -240,14 +239,19 @@
 	s.assocGone(a)
 }
 
-// doubt takes a connection out of use on which an answer is missing.
-func (s *Server) doubt(a *assoc) {
-	if s.assocs[a.id] != a {
-		return
+// doubtSince takes a connection out of use on which an attempt sent at a time got no answer, and with it all others
+// to an office of which nothing at all was heard since: connections of a machine that vanished stay open, and each
+// would cost a trial. What the machine's return brings comes on new ones.
+func (s *Server) doubtSince(a *assoc, sent time.Duration) {
+	x := a.to
+	heard := slices.ContainsFunc(x.assocs, func(o *assoc) bool { return o.heard > sent })
+	for _, o := range slices.Clone(x.assocs) {
+		if o == a || !heard && o.up && o.born <= sent {
+			o.doubtful = true
+			s.retire(o)
+		}
 	}
-	a.doubtful = true
-	s.retire(a)
-	s.spare(a.to)
+	s.spare(x)
 }
 
 // retire closes a connection that gets nothing new, once nothing is open on it.
@@ -311,6 +315,8 @@
 		}
 	case office.Release:
 		s.released(a, m)
+	case office.Heard:
+		a.releases.heard(m.Call)
 	case office.GroupState:
 		load, err := m.Values(s.cfg.Settings.ReportFields)
 		if err != nil {
@@ -351,8 +357,11 @@
 		return
 	}
 	k := s.byID[m.Call]
-	if k == nil || k.state != standing || k.at != a.to || slices.Contains(k.past, a.id) {
-		return // of an attempt that is over already
+	if k == nil || k.state != standing || k.at != a.to {
+		return // of a call that is over already
+	}
+	if slices.Contains(k.past, a.id) && m.Cause != office.CauseNormal && k.on != nil && s.assocs[k.on.id] == k.on {
+		return // of an earlier attempt: only a call that stood ends with the normal cause
 	}
 	status := logic.Reset
 	if m.HasCause && m.Cause == office.CauseNormal {
@@ -370,15 +379,19 @@
 	"occupied": logic.NoteBusy, "far_swamped": logic.NoteBeyondFull}
 
 // releaseOffice releases a call that stands at its office, on the connection of its set-up or on any other.
-func (s *Server) releaseOffice(k *call, cause byte) {
-	a := k.on
+func (s *Server) releaseOffice(k *call, cause byte) { s.releaseAt(k.at, k.on, k.wire, cause) }
+
+func (s *Server) releaseAt(x *exchange, a *assoc, wire uint64, cause byte) {
 	if a == nil || s.assocs[a.id] != a || a.stuck {
-		a = k.at.best()
+		a = x.best()
 	}
 	if a == nil {
-		k.at.owed = append(k.at.owed, release{k.wire, cause})
-		s.spare(k.at)
+		if x.state != logic.Gone {
+			x.owed = append(x.owed, release{wire: wire, cause: cause})
+			s.spare(x)
+		}
 		return
 	}
-	s.send(a, &office.Message{Type: office.Release, Call: k.wire, Cause: cause, HasCause: true})
+	a.releases.add(release{at: s.now, wire: wire, cause: cause})
+	s.send(a, &office.Message{Type: office.Release, Call: wire, Cause: cause, HasCause: true})
 }
