Calls to the own exchange go over a tandem while their callers' own call server is away

A probe at each refusal: 541 of about 1,000 had the own exchange as destination (no route at all), most others found no circuit. Ruled out: processors (delays under 60 ms), silence, cold budgets, lost calls (none). At fault: pick() in logic/routing.go knew no route to the own exchange, which may not be sent to directly.

--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -645,3 +645,28 @@
 		t.Errorf("%d attempts a call where nothing stands", attempts)
 	}
 }
+
+// Guards against turning away all who call the own exchange from here, while the call server of theirs is away.
+func TestOwnExchangeIsReachedOverATandem(t *testing.T) {
+	b := quietBed(t, nil)
+	over := 0
+	for i := range 20 {
+		switch got := b.call(0, 0, fmt.Sprint("own", i)); {
+		case got == "send 0":
+			t.Fatal("a call went straight to the own exchange")
+		case strings.HasPrefix(got, "send "):
+			over++
+			b.stand(b.next)
+		}
+	}
+	if over < 10 {
+		t.Errorf("%d of 20 went over a tandem", over)
+	}
+	for _, p := range b.h.problems {
+		t.Error(p)
+	}
+	b.c.Offered(b.h.now, Call{ID: 999, Dest: 0, Transit: true, Via: -1, TimeLeft: time.Second})
+	if a := b.h.acts[len(b.h.acts)-1]; !strings.HasPrefix(a, "refuse 999") {
+		t.Errorf("a call in transit to the own exchange: %q", a)
+	}
+}
--- a/logic/routing.go
+++ b/logic/routing.go
@@ -75,6 +75,10 @@
 	// A busy number: one call at a time learns whether a line is free, the others spare the processors.
 	case !k.Transit && n != nil && c.now < n.busyUntil:
 	case c.set.MaxAttempts > 0 && k.attempts >= c.set.MaxAttempts || k.mayRun && !c.set.Classes[k.Class].Safe:
+	// A caller of the own exchange comes here while another call server is away. Nothing goes to it directly, but
+	// a tandem can. The danger: that all of them are turned away; it hurts where circuits are short.
+	case k.dest == home && !c.set.Pools && !k.Transit && !k.waited && !c.late(k) && c.warm(home):
+		return c.tandem(k), true
 	case !c.reachable(k.dest) || home != nil && !c.set.Pools && !c.warm(home) || c.pressed(k.dest, k, false):
 	case k.allowed(c, k.dest) && c.fits(k.dest, k, k.Transit || c.late(k)):
 		return k.dest, k.Transit
@@ -94,7 +98,7 @@
 // tandem draws a tandem (a pool of second choice) by the weights learnt. The one that a centre advises goes
 // first, as often as advice has lately stood: the centre has seen the second leg.
 func (c *Controller) tandem(k *call) *exchange {
-	if k.attempts == 0 {
+	if k.attempts == 0 && (c.set.Pools || k.dest.number != c.set.Home) { // no group was full
 		c.counts[c.bucket()][len(c.set.Classes)]++
 	}
 	if !c.set.Pools && c.pressed(k.dest, k, true) {
