The stand-in office sends a release again on its next connection, as the platform's offices do

The test of all deeds failed once under load: a release that went out on a connection at the moment of its close was lost for good, which offices of the platform do not do.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -143,18 +143,23 @@
 	return o.tries[call]
 }
 
-// release ends a call that stands: on the newest connection, or on the next one.
+// release ends a call that stands: on the newest connection, and again on the next one that opens, since the newest
+// may be ending.
 func (o *Office) release(call uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.stood[call] {
 		return
 	}
-	if len(o.conns) == 0 {
-		o.owed = append(o.owed, call)
-		return
+	delete(o.stood, call)
+	o.owed = append(o.owed, call)
+	if len(o.conns) > 0 {
+		o.conns[len(o.conns)-1].sendRelease(call)
 	}
-	o.conns[len(o.conns)-1].send(&office.Message{Type: office.Release, Call: call, Cause: office.CauseNormal, HasCause: true})
+}
+
+func (c *officeConn) sendRelease(call uint64) {
+	c.send(&office.Message{Type: office.Release, Call: call, Cause: office.CauseNormal, HasCause: true})
 }
 
 // officeConn is one connection to an office.
@@ -179,7 +184,7 @@
 		o.conns = slices.DeleteFunc(o.conns, func(x *officeConn) bool { return x == c })
 	}()
 	for _, call := range owed {
-		o.release(call)
+		c.sendRelease(call)
 	}
 	var in office.Framer
 	buf := make([]byte, 4096)
