--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -112,8 +112,8 @@
 			return
 		}
 	default:
-		// Faults of signalling strike one set-up and spare the next. The danger: an exchange that fails most of
-		// them quickly; its callers would dial again and stand late. Where next to nothing stands it hurts.
+		// Faults of signalling strike one set-up and spare the next. The danger: an exchange that fails most
+		// of them quickly; its callers would dial again and stand late. It hurts where next to nothing stands.
 		k.mayRun = true
 		if o.Note != NoteBusy && !k.Transit && k.dest.sound > floor {
 			k.tried = k.tried[:len(k.tried)-1]
--- a/logic/evidence.go
+++ b/logic/evidence.go
@@ -48,7 +48,7 @@
 // Peer takes a message of another call server. Nothing is made of it: calls are decided on own evidence.
 func (c *Controller) Peer(now time.Duration, from int, data []byte) { c.at(now) }
 
-// delayOf is the set-up delay to expect: the fading mean, or the age of the oldest direct attempt in the queue.
+// delayOf is the set-up delay to expect: the fading mean, or the age of the oldest direct attempt in line.
 func (c *Controller) delayOf(e *exchange) time.Duration {
 	d := time.Duration(float64(e.delay) * math.Exp2(-float64(c.now-e.delayAt)/float64(halfLife)))
 	if k := e.oldest(); k != nil && !k.twoLeg {
@@ -57,8 +57,8 @@
 	return d
 }
 
-// oldest is the oldest attempt out that no later one has passed: a processor works in order, so an older one is in
-// no queue and its answer is lost or stuck. Taken for a queue, one lost answer would turn all calls away.
+// oldest is the oldest attempt out that no later one has passed: a processor works in order, so an older one
+// is in no queue and its answer is lost or stuck. Taken for a queue, one lost answer would turn all calls away.
 func (e *exchange) oldest() *call {
 	if i := slices.IndexFunc(e.out, func(k *call) bool { return k.sent >= e.passed }); i >= 0 {
 		return e.out[i]
@@ -116,9 +116,9 @@
 	return max(time.Duration(silentPart*float64(c.aim)), 4*e.delay)
 }
 
-// overtaken calls off attempts that several later ones have passed, for another try in time. The danger: answers
-// lost on the way or with their connection. It should help with parts of an exchange that hang, too; it hurts where
-// one keeps no order.
+// overtaken calls off attempts that several later ones have passed, for another try in time. The danger:
+// answers lost on the way or with their connection. It should help with parts of an exchange that hang, too;
+// it hurts where one keeps no order.
 func (c *Controller) overtaken(by *call) {
 	by.at.passed = max(by.at.passed, by.sent)
 	for _, k := range by.at.out {
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -74,8 +74,8 @@
 	e.office = best
 }
 
-// forgetGone drops offices that are gone: a list that goes on naming new ones must not grow without end. One that
-// comes back is taken for a fresh one, as it would be had it been kept.
+// forgetGone drops offices that are gone: a list that goes on naming new ones must not grow without end. One
+// that comes back is taken for a fresh one, as it would be had it been kept.
 func (c *Controller) forgetGone(e *exchange) {
 	e.offices = slices.DeleteFunc(e.offices, func(o *office) bool {
 		if o.State == Gone {
--- a/logic/routing.go
+++ b/logic/routing.go
@@ -75,8 +75,8 @@
 	// A busy number: one call at a time learns whether a line is free, the others spare the processors.
 	case !k.Transit && n != nil && c.now < n.busyUntil:
 	case c.set.MaxAttempts > 0 && k.attempts >= c.set.MaxAttempts || k.mayRun && !c.set.Classes[k.Class].Safe:
-	// A caller of the own exchange comes here while another call server is away. Nothing goes to it directly, but
-	// a tandem can. The danger: that all of them are turned away; it hurts where circuits are short.
+	// A caller of the own exchange comes here while another call server is away. Nothing goes to it directly,
+	// but a tandem can. The danger: that all of them are turned away; it hurts where circuits are short.
 	case k.dest == home && !c.set.Pools && !k.Transit && !k.waited && !c.late(k) && c.warm(home):
 		return c.tandem(k), true
 	case !c.reachable(k.dest) || home != nil && !c.set.Pools && !c.warm(home) || c.pressed(k.dest, k, false):
