--- a/logic/evidence.go
+++ b/logic/evidence.go
@@ -58,7 +58,7 @@
 }
 
 // oldest is the oldest attempt out that no later one has passed: a processor works in order, so an older one
-// is in no queue and its answer is lost or stuck. Taken for a queue, one lost answer would turn all calls away.
+// is in no queue and its answer is lost or stuck. Taken for a queue, one lost answer would turn all away.
 func (e *exchange) oldest() *call {
 	if i := slices.IndexFunc(e.out, func(k *call) bool { return k.sent >= e.passed }); i >= 0 {
 		return e.out[i]
