Copies of a group's state on other connections bring no circuit back

At fault: officeMessage in callserver/offices.go reported each copy. Change: a state that another connection has told already, and that still lives, is passed over; the same from the same connection is news.

--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -257,6 +257,33 @@
 	}
 }
 
+// The danger: a state of a group comes on each connection to its office; a copy that comes after a set-up would bring
+// back the circuit that the set-up has just taken, and a second call would go out for nothing.
+func TestCopiesOfAStateBringNoCircuitBack(t *testing.T) {
+	b := newBench(t, func(c *Config) { c.Settings.MaxAttempts = 1 })
+	first := b.up("10.0.0.1:5080")
+	c := b.caller()
+	b.say(c, invite(1, "dest:1;width:1"))
+	b.setUp(1)
+	second := b.up("10.0.0.1:5080")
+	one := &office.Message{Type: office.GroupState, Load: "spare:1;total:30"}
+	b.office(first, one)
+	b.say(c, invite(7, "dest:1;width:1"))
+	b.setUp(7)
+	b.office(second, one) // the copy
+	b.say(c, invite(8, "dest:1;width:1"))
+	for id := range b.s.assocs {
+		for _, m := range b.sent(id) {
+			if m.Call == 8 {
+				t.Fatal("a set-up went out for a circuit that is taken")
+			}
+		}
+	}
+	b.office(first, &office.Message{Type: office.GroupState, Load: "spare:0;total:30"})
+	b.office(first, one)
+	b.setUp(8) // it waited for the circuit
+}
+
 // The danger: a release written on a connection whose end has not shown yet is lost with it.
 func TestReleasesLostWithTheirConnection(t *testing.T) {
 	b := newBench(t, nil)
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -19,6 +19,8 @@
 	assocs   []*assoc
 	waiting  []*call // attempts without a connection yet
 	standing int
+	load     string    // state of its group as it was told last,
+	teller   *assoc    // and the connection that told it first
 	owed     []release // of calls that stood, for the next connection
 	failures int       // connections that did not come up, in a row
 	redialAt time.Duration
@@ -323,6 +325,12 @@
 			s.spoilt(a, err.Error())
 			return
 		}
+		// A change is told on each connection. A copy that comes after a set-up of ours would bring back the circuit
+		// that it has just taken.
+		if x := a.to; m.Load == x.load && x.teller != a && s.assocs[x.teller.id] == x.teller {
+			return
+		}
+		a.to.load, a.to.teller = m.Load, a
 		s.ctl.Report(s.now, logic.Report{Office: a.to.id, OK: !m.HasCause || m.Cause == 1, Load: load})
 	case office.TestReport:
 		load, err := m.Values(s.cfg.Settings.ReportFields)
