One type for acts; state that could be derived leaves the call server

Act stood in router and in callserver word for word: it is logic.Act now, beside Host. Gone: an office's told, a connection's accepted, AskJournal.From (always 0; the test still checks the position), a claim's name of its office (the office has it), a call's owedCause (releases that wait are releases), and a second copy of endLater in Cancel.

--- a/callserver/callers.go
+++ b/callserver/callers.go
@@ -417,8 +417,8 @@
 	}
 	owed := s.owed
 	s.owed = nil
-	for _, k := range owed {
-		s.releaseCaller(k, k.owedCause)
+	for _, r := range owed {
+		s.releaseCaller(r.call, r.cause)
 	}
 }
 
@@ -426,8 +426,7 @@
 func (s *Server) releaseCaller(k *call, cause byte) {
 	c := s.toCaller(k)
 	if c == nil {
-		k.owedCause = cause
-		s.owed = append(s.owed, k)
+		s.owed = append(s.owed, release{call: k, cause: cause})
 		return
 	}
 	c.byes.add(release{at: s.now, call: k, wire: k.wire, cause: cause})
--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -38,8 +38,6 @@
 	deadline    time.Duration
 	trying      bool // an attempt is out or waits for its connection
 	written     bool // its set-up has been handed to the connection
-	claimed     string
-	owedCause   byte
 }
 
 // out tells whether an attempt has no ending yet.
@@ -190,8 +188,7 @@
 		return
 	}
 	s.claims++
-	k := &call{wire: in.wire, callID: in.head.CallID, from: c, state: standing, name: in.name, number: in.number,
-		claimed: in.at}
+	k := &call{wire: in.wire, callID: in.head.CallID, from: c, state: standing, name: in.name, number: in.number}
 	s.byID[k.wire] = k
 	k.at = s.offices[in.at]
 	if k.at == nil {
@@ -210,10 +207,10 @@
 // checkClaim ends a call that was taken up at an office that is not known by now.
 func (s *Server) checkClaim(wire uint64) {
 	k := s.byID[wire]
-	if k == nil || k.claimed == "" || s.offices[k.claimed] == k.at {
+	if k == nil || k.id != 0 || s.offices[k.at.id] == k.at {
 		return
 	}
-	if o := s.offices[k.claimed]; o != nil {
+	if o := s.offices[k.at.id]; o != nil {
 		k.at = o
 		o.standing++
 		return
--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -56,8 +56,8 @@
 	claims   int // calls that were taken up as they stood
 	offices  map[string]*exchange
 	probes   map[uint64]*probe
-	owed     []*call // releases that no caller's connection could carry yet
-	pos      uint64  // of the last event of the journal
+	owed     []release // releases that no caller's connection could carry yet
+	pos      uint64    // of the last event of the journal
 	todo     []func()
 	effects  []Effect
 	given    []Effect
--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -536,7 +536,7 @@
 		t.Fatal("the new office does not get the call")
 	}
 	b.apply(Input{Kind: InJournal, Events: []feed.Event{list(4, false, member("s-9", 1, feed.Draining))}})
-	if len(b.asked) != 1 || b.asked[0].From != 0 || b.s.Pos() != 0 {
+	if len(b.asked) != 1 || b.s.Pos() != 0 {
 		t.Fatalf("after a gap: asked %v, position %d", b.asked, b.s.Pos())
 	}
 	b.apply(Input{Kind: InJournal, Events: []feed.Event{list(5, true, member("s-0", 0, feed.Serving), member("s-9", 1, feed.Draining))}})
--- a/callserver/effects.go
+++ b/callserver/effects.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"time"
+
+	"finchlatch/logic"
 )
 
 // ConnID names one connection, accepted or dialled.
@@ -31,31 +33,17 @@
 	Within time.Duration
 }
 
-// Act is what a Decision does.
-type Act byte
-
-// Acts of the Controller.
-const (
-	ActSend Act = iota
-	ActRefuse
-	ActFail
-	ActCancel
-)
-
-// String names the act.
-func (a Act) String() string { return [...]string{"send", "refuse", "fail", "cancel"}[a] }
-
 // Decision tells what the Controller decided, for those who look on: it is carried out by other effects.
 type Decision struct {
 	At     time.Duration
 	Call   uint64 // by which the Controller knows it
-	Act    Act
+	Act    logic.Act
 	Office string
 	Within time.Duration
 }
 
-// AskJournal asks the journal service again, for what came after From.
-type AskJournal struct{ From uint64 }
+// AskJournal asks the journal service again, from the position that Server.Pos tells.
+type AskJournal struct{}
 
 // Log is a line for the operators.
 type Log struct {
--- a/callserver/host.go
+++ b/callserver/host.go
@@ -19,7 +19,7 @@
 		s.log(slog.LevelError, "attempt that cannot be made", slog.Uint64("call", id), slog.String("office", to))
 		return
 	}
-	s.emit(Decision{At: s.now, Call: id, Act: ActSend, Office: to, Within: timeout})
+	s.emit(Decision{At: s.now, Call: id, Act: logic.ActSend, Office: to, Within: timeout})
 	k.attempts++
 	k.at, k.sent, k.deadline, k.trying = x, s.now, s.now+timeout, true
 	x.count.sent++
@@ -32,7 +32,7 @@
 	s.assign(k)
 }
 
-// endLater ends an attempt that never went out.
+// endLater ends an attempt after the Controller has finished what it is doing.
 func (s *Server) endLater(k *call, attempt int, status logic.Status) {
 	s.later(func() {
 		if k.out() && k.attempts-1 == attempt {
@@ -44,7 +44,7 @@
 // Refuse is a final answer: trying again is harmless.
 func (h host) Refuse(id uint64, wait time.Duration) {
 	if k := h.s.calls[id]; k != nil {
-		h.s.emit(Decision{At: h.s.now, Call: id, Act: ActRefuse})
+		h.s.emit(Decision{At: h.s.now, Call: id, Act: logic.ActRefuse})
 		h.s.totals.Refused++
 		seconds := 0
 		if h.s.cfg.Settings.TellsWait {
@@ -57,7 +57,7 @@
 // Fail is a final answer.
 func (h host) Fail(id uint64) {
 	if k := h.s.calls[id]; k != nil {
-		h.s.emit(Decision{At: h.s.now, Call: id, Act: ActFail})
+		h.s.emit(Decision{At: h.s.now, Call: id, Act: logic.ActFail})
 		h.s.totals.Failed++
 		h.s.refuse(k, 500, 0)
 	}
@@ -70,13 +70,9 @@
 	if k == nil || !k.out() || k.attempts-1 != attempt {
 		return
 	}
-	s.emit(Decision{At: s.now, Call: id, Act: ActCancel, Office: k.at.id})
+	s.emit(Decision{At: s.now, Call: id, Act: logic.ActCancel, Office: k.at.id})
 	s.giveUp(k)
-	s.later(func() {
-		if k.out() && k.attempts-1 == attempt {
-			s.over(k, logic.Outcome{Status: logic.Cancelled})
-		}
-	})
+	s.endLater(k, attempt, logic.Cancelled)
 }
 
 // giveUp tells an office that a set-up is given up, if it can have heard of it.
--- a/callserver/members.go
+++ b/callserver/members.go
@@ -32,7 +32,7 @@
 	if ev.Pos > s.pos+1 && !ev.Hosts.Complete {
 		s.log(slog.LevelWarn, "journal has a gap", slog.Uint64("from", s.pos), slog.Uint64("to", ev.Pos))
 		s.pos = 0
-		s.emit(AskJournal{From: 0})
+		s.emit(AskJournal{})
 		return
 	}
 	s.pos = ev.Pos
@@ -120,7 +120,6 @@
 // leave takes the news that an office drains or is gone: what has not gone out to it within the grace never does.
 func (s *Server) leave(x *exchange, state logic.OfficeState) {
 	if x.state == logic.Ready {
-		x.told = s.now
 		s.arm(s.cfg.Settings.DrainGrace/2, timer{kind: timerGrace, at: x.id})
 	}
 	x.state = state
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -15,7 +15,6 @@
 	cell     int
 	state    logic.OfficeState
 	started  time.Duration
-	told     time.Duration // when the list said that it drains or is gone
 	assocs   []*assoc
 	waiting  []*call // attempts without a connection yet
 	standing int
--- a/cmd/benchlink/twin_test.go
+++ b/cmd/benchlink/twin_test.go
@@ -179,7 +179,7 @@
 			}
 		case callserver.Decision:
 			text := fmt.Sprintf("%v %s %d", e.At, e.Act, e.Call)
-			if e.Act == callserver.ActSend {
+			if e.Act == logic.ActSend {
 				text += fmt.Sprintf(" %s %v", e.Office, e.Within)
 			}
 			l.actions = append(l.actions, text)
--- a/logic/interface.go
+++ b/logic/interface.go
@@ -141,3 +141,17 @@
 	Watch(on bool) // ask for list changes, where ListOnRequest
 	Log(text string)
 }
+
+// Act names what a Host is asked to do about a call, for those who look on.
+type Act byte
+
+// The acts.
+const (
+	ActSend Act = iota
+	ActRefuse
+	ActFail
+	ActCancel
+)
+
+// String names the act.
+func (a Act) String() string { return [...]string{"send", "refuse", "fail", "cancel"}[a] }
--- a/node/node.go
+++ b/node/node.go
@@ -55,10 +55,9 @@
 // endpoint is a connection and its reader.
 type endpoint struct {
 	*link.Link
-	id       callserver.ConnID
-	resume   chan struct{} // the loop has handled the last piece
-	accepted bool
-	discard  atomic.Bool // the reader only waits for the end
+	id      callserver.ConnID
+	resume  chan struct{} // the loop has handled the last piece
+	discard atomic.Bool   // the reader only waits for the end
 }
 
 // Sizes of buffers and queues.
@@ -238,9 +237,9 @@
 	switch in.Kind {
 	case callserver.InAccepted:
 		in.Conn, in.From = n.core.NewConn(), in.conn.RemoteAddr().String()
-		n.serve(in.Conn, in.conn, true)
+		n.serve(in.Conn, in.conn)
 	case callserver.InConnected:
-		n.serve(in.Conn, in.conn, false)
+		n.serve(in.Conn, in.conn)
 	case callserver.InReceive:
 		if n.links[in.Conn] == in.end {
 			in.Waited = now - in.came
@@ -258,8 +257,8 @@
 }
 
 // serve starts the reader of a connection.
-func (n *Node) serve(id callserver.ConnID, conn net.Conn, accepted bool) {
-	e := &endpoint{id: id, resume: make(chan struct{}, 1), accepted: accepted}
+func (n *Node) serve(id callserver.ConnID, conn net.Conn) {
+	e := &endpoint{id: id, resume: make(chan struct{}, 1)}
 	e.Link = link.NewDirect(conn, func(on bool) {
 		in := callserver.Input{Kind: callserver.InStuck, Conn: id, On: on}
 		if on { // only the loop writes
--- a/router/effects.go
+++ b/router/effects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"finchlatch/isup"
+	"finchlatch/logic"
 )
 
 // PeerID is the place of a peer in Config.Peers.
@@ -37,25 +38,11 @@
 	Attrs []slog.Attr
 }
 
-// Act is what a Decision does.
-type Act byte
-
-// Acts of the Controller.
-const (
-	ActSend Act = iota
-	ActRefuse
-	ActFail
-	ActCancel
-)
-
-// String names the act.
-func (a Act) String() string { return [...]string{"send", "refuse", "fail", "cancel"}[a] }
-
 // Decision tells what the Controller decided; it has been carried out already.
 type Decision struct {
 	At      time.Duration
 	Call    uint64
-	Act     Act
+	Act     logic.Act
 	Attempt int
 	Office  string
 }
--- a/router/host.go
+++ b/router/host.go
@@ -22,7 +22,7 @@
 	}
 	c.attempts++
 	c.office, c.sent, c.deadline, c.repeats = office, r.now, r.now+timeout, 0
-	r.emit(Decision{At: r.now, Call: id, Act: ActSend, Attempt: c.attempts - 1, Office: office})
+	r.emit(Decision{At: r.now, Call: id, Act: logic.ActSend, Attempt: c.attempts - 1, Office: office})
 	if status, note := r.attempt(c); status != 0 {
 		r.attemptOver(c, status, note)
 		return
@@ -72,7 +72,7 @@
 // Refuse is a final answer.
 func (h host) Refuse(id uint64, wait time.Duration) {
 	if c := h.r.calls[id]; c != nil {
-		h.r.emit(Decision{At: h.r.now, Call: id, Act: ActRefuse})
+		h.r.emit(Decision{At: h.r.now, Call: id, Act: logic.ActRefuse})
 		h.r.answer(c, Refused, c.refusal())
 	}
 }
@@ -80,7 +80,7 @@
 // Fail is a final answer.
 func (h host) Fail(id uint64) {
 	if c := h.r.calls[id]; c != nil {
-		h.r.emit(Decision{At: h.r.now, Call: id, Act: ActFail})
+		h.r.emit(Decision{At: h.r.now, Call: id, Act: logic.ActFail})
 		h.r.answer(c, Failed, c.failure())
 	}
 }
@@ -92,7 +92,7 @@
 	if c == nil || c.out == nil || c.answered || c.attempts-1 != attempt {
 		return
 	}
-	r.emit(Decision{At: r.now, Call: id, Act: ActCancel, Attempt: attempt, Office: c.office})
+	r.emit(Decision{At: r.now, Call: id, Act: logic.ActCancel, Attempt: attempt, Office: c.office})
 	c.out.peer.group.Release(r.now, c.out.seizure, isup.ReleaseInfo{Cause: isup.CauseNormalUnspecified,
 		Location: isup.LocationLocalNetwork})
 	r.touch(c.out.peer)
--- a/router/lease_test.go
+++ b/router/lease_test.go
@@ -63,7 +63,7 @@
 	}
 	sends := 0
 	for _, e := range n.effects["a"] {
-		if d, ok := e.(Decision); ok && d.Act == ActSend {
+		if d, ok := e.(Decision); ok && d.Act == logic.ActSend {
 			sends++
 		}
 	}
@@ -253,7 +253,7 @@
 		}
 		n.run(n.now + 4*time.Second)
 		for _, e := range n.effects["a"] {
-			if d, ok := e.(Decision); ok && d.Act == ActSend {
+			if d, ok := e.(Decision); ok && d.Act == logic.ActSend {
 				out = append(out, d.Office)
 			}
 		}
