A wait after a given-up attempt counts from when its release was written

Checked: the office's own endings are told to the checker before they are written and cannot come out short; what the call server gives up is seen only when the office has read the release. Two causes, both real: - callserver told the Controller of TimedOut and Cancelled at the time of the batch, before the release was written (timedOut and Cancel in callserver). With part of a core a process can be held up between the two, and the next set-up goes out early by as much. At a pause of 60 ms the core test had the second attempt 140 ms after the release. - the checker took the reading of a release for its writing, so a reader held up by 0.5 ms was a breach. Change: Confirm asks the shell for InWritten once the effects before it are carried out; the end of an attempt is told then. A release behind bytes that TCP does not take closes the connection, so neither it nor the set-up goes out later. The checker has Withdrawn: the release was written up to the slack (50 ms, as the platform allows) before it was read; the office's own ends stay exact. Its planted breach (140 ms after a release) is found.

--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -38,10 +38,11 @@
 	deadline    time.Duration
 	trying      bool // an attempt is out or waits for its connection
 	written     bool // its set-up has been handed to the connection
+	givenUp     bool // and so has its release, or is about to be
 }
 
 // out tells whether an attempt has no ending yet.
-func (c *call) out() bool { return c.trying && c.state == settingUp }
+func (c *call) out() bool { return c.trying && !c.givenUp && c.state == settingUp }
 
 // inOrder gives the calls in the order in which they came.
 func (s *Server) inOrder() []*call {
@@ -136,7 +137,7 @@
 	}
 	at, a, sent := k.at, k.on, k.sent
 	silent := k.written && a.heard <= k.sent && (o.Status == logic.TimedOut || o.Status == logic.Cancelled)
-	k.trying, k.on, k.written = false, nil, false
+	k.trying, k.on, k.written, k.givenUp = false, nil, false, false
 	at.count.add(o.Status)
 	o.Call, o.Attempt, o.Office, o.Took, o.Over = k.id, k.attempts-1, at.id, s.now-k.sent, s.byID[k.wire] != k
 	s.log(slog.LevelDebug, "attempt over", slog.String("call", k.callID), slog.String("office", at.id),
@@ -168,10 +169,25 @@
 	s.releaseCaller(k, cause)
 }
 
-// timedOut ends an attempt whose time is over: the office is told, and then the Controller.
-func (s *Server) timedOut(k *call) {
-	s.giveUp(k)
-	s.over(k, logic.Outcome{Status: logic.TimedOut})
+// giveUp ends an attempt that has no answer. Where its office can have heard of it, the office is told first, and the
+// Controller once that is written: its wait before another attempt counts from there.
+func (s *Server) giveUp(k *call, status logic.Status) {
+	s.settle(k)
+	if !k.written {
+		s.endLater(k, k.attempts-1, status)
+		return
+	}
+	s.send(k.on, &office.Message{Type: office.Release, Call: k.wire, Cause: office.CauseNormal, HasCause: true})
+	k.givenUp = true
+	if len(s.ending) == 0 {
+		s.emit(Confirm{})
+	}
+	s.ending = append(s.ending, func() {
+		if a := k.on; a.stuck && s.assocs[a.id] == a { // what waits there must not go out any more
+			s.spoilt(a, "an attempt was given up behind bytes that are not taken")
+		}
+		s.over(k, logic.Outcome{Status: status})
+	})
 }
 
 // claim takes up a call that stands already at an office.
--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -59,6 +59,7 @@
 	owed     []release // releases that no caller's connection could carry yet
 	pos      uint64    // of the last event of the journal
 	todo     []func()
+	ending   []func() // ends of attempts whose releases are not known to be written yet
 	effects  []Effect
 	given    []Effect
 	totals   totals
@@ -136,6 +137,8 @@
 		for i := range in.Events {
 			s.journal(&in.Events[i])
 		}
+	case InWritten:
+		s.todo, s.ending = append(s.todo, s.ending...), nil
 	case InAdvance:
 		for _, t, ok := s.timers.Pop(s.now); ok; _, t, ok = s.timers.Pop(s.now) {
 			s.fire(t)
@@ -193,7 +196,7 @@
 		s.ctl.Timer(s.now, t.mark)
 	case timerAttempt:
 		if c := s.calls[t.id]; c != nil && c.out() && c.attempts-1 == t.n {
-			s.timedOut(c)
+			s.giveUp(c, logic.TimedOut)
 		}
 	case timerCaller:
 		s.checkCaller(ConnID(t.id))
--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -23,6 +23,9 @@
 	closed map[ConnID]Close
 	dials  []Dial
 	asked  []AskJournal
+	sends  []Decision
+	// effects are not carried out yet: nothing is said to be written
+	unwritten bool
 }
 
 const start = 1_750_000_000 * time.Second
@@ -65,8 +68,20 @@
 // take carries effects out on paper. An error in the log is a defect.
 func (b *bench) take() {
 	b.t.Helper()
+	written := false
+	defer func() {
+		if written {
+			b.apply(Input{Kind: InWritten})
+		}
+	}()
 	for _, e := range b.s.Effects() {
 		switch e := e.(type) {
+		case Decision:
+			if e.Act == logic.ActSend {
+				b.sends = append(b.sends, e)
+			}
+		case Confirm:
+			written = !b.unwritten
 		case Write:
 			if _, gone := b.closed[e.Conn]; gone {
 				b.t.Errorf("write on connection %d, which was closed", e.Conn)
@@ -595,6 +610,49 @@
 	}
 }
 
+// The danger: a process that gets its core late writes a release long after it was decided, and the wait before the next
+// attempt has begun too early; or the release waits behind a set-up that TCP does not take, and both go out much later.
+func TestTheWaitAfterGivingUpBeginsWithItsWriting(t *testing.T) {
+	for name, stuck := range map[string]bool{"written late": false, "not taken by TCP": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.up("10.0.0.1:5080")
+			c := b.caller()
+			b.say(c, invite(7, "dest:1;width:1"))
+			a, _ := b.setUp(7)
+			b.pass(700 * time.Millisecond)
+			b.unwritten = true
+			for id := uint64(8); id < 11; id++ { // three later calls pass it: it is called off
+				b.up("10.0.0.1:5080")
+				b.say(c, invite(id, "dest:1;width:1"))
+				later, _ := b.setUp(id)
+				b.office(later, answer(id))
+			}
+			if got := b.sent(a); len(got) != 1 || got[0].Type != office.Release {
+				t.Fatalf("the office that owes an answer hears %v", got)
+			}
+			b.pass(250 * time.Millisecond)
+			if len(b.sends) != 4 {
+				t.Fatalf("%d attempts, and the release of the first is not written", len(b.sends))
+			}
+			if stuck {
+				b.apply(Input{Kind: InStuck, Conn: a, On: true})
+			}
+			b.unwritten = false
+			written := b.now
+			b.apply(Input{Kind: InWritten})
+			if b.closed[a].Now != stuck {
+				t.Errorf("the connection of the attempt: %+v", b.closed[a])
+			}
+			b.up("10.0.0.1:5080")
+			b.pass(time.Second)
+			if len(b.sends) != 5 || b.sends[4].At < written+b.s.cfg.Settings.Release {
+				t.Errorf("released at %v, then sent %+v", written, b.sends)
+			}
+		})
+	}
+}
+
 // The danger: a machine that vanished leaves its connections open, and each trial after its return would go to one of
 // them; and strangers who ask for a year, or say that calls stand which do not.
 func TestVanishedMachineAndAbsurdPatience(t *testing.T) {
--- a/callserver/effects.go
+++ b/callserver/effects.go
@@ -45,6 +45,9 @@
 // AskJournal asks the journal service again, from the position that Server.Pos tells.
 type AskJournal struct{}
 
+// Confirm asks for InWritten once all that was asked for before it has been carried out.
+type Confirm struct{}
+
 // Log is a line for the operators.
 type Log struct {
 	Level slog.Level
@@ -57,6 +60,7 @@
 func (Close) effect()      {}
 func (Dial) effect()       {}
 func (AskJournal) effect() {}
+func (Confirm) effect()    {}
 func (Log) effect()        {}
 
 // InputKind tells inputs apart.
@@ -72,4 +76,5 @@
 	InStuck                      // Conn, On: bytes wait that TCP does not take
 	InJournal                    // Events
 	InAdvance                    // time has gone on
+	InWritten                    // what came before a Confirm has been carried out
 )
--- a/callserver/host.go
+++ b/callserver/host.go
@@ -71,16 +71,7 @@
 		return
 	}
 	s.emit(Decision{At: s.now, Call: id, Act: logic.ActCancel, Office: k.at.id})
-	s.giveUp(k)
-	s.endLater(k, attempt, logic.Cancelled)
-}
-
-// giveUp tells an office that a set-up is given up, if it can have heard of it.
-func (s *Server) giveUp(k *call) {
-	if k.on != nil && k.written {
-		s.send(k.on, &office.Message{Type: office.Release, Call: k.wire, Cause: office.CauseNormal, HasCause: true})
-	}
-	s.settle(k)
+	s.giveUp(k, logic.Cancelled)
 }
 
 // probe is a test of an office that is out.
--- a/cmd/benchlink/twin_test.go
+++ b/cmd/benchlink/twin_test.go
@@ -160,6 +160,8 @@
 	}()
 	for _, e := range l.s.Effects() {
 		switch e := e.(type) {
+		case callserver.Confirm:
+			defer l.apply(callserver.Input{At: now, Kind: callserver.InWritten})
 		case callserver.Dial:
 			l.addrs[e.Conn], l.frames[e.Conn] = e.Addr, &office.Framer{}
 			dialled = append(dialled, e.Conn)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -203,7 +203,7 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			for call := range c.open {
-				c.end(call, true)
+				c.withdrawn(call)
 			}
 			return
 		}
@@ -224,13 +224,21 @@
 	}
 }
 
+// withdrawn tells the checker that the call server has given an attempt up; c.mu is held.
+func (c *officeConn) withdrawn(call uint64) {
+	if c.open[call] {
+		delete(c.open, call)
+		c.o.world.Judge(func(at time.Duration, p *rulecheck.Platform) { p.Withdrawn(at, c.o.Member.ID, call) })
+	}
+}
+
 // message takes one message; false: the connection ends.
 func (c *officeConn) message(m *office.Message) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch m.Type {
 	case office.Release:
-		c.end(m.Call, true)
+		c.withdrawn(m.Call)
 		c.o.mu.Lock()
 		delete(c.o.stood, m.Call)
 		c.o.mu.Unlock()
--- a/internal/rulecheck/platform.go
+++ b/internal/rulecheck/platform.go
@@ -110,6 +110,15 @@
 	}
 }
 
+// Withdrawn tells that an office has read that the call server gave an attempt up: written before, by the slack at
+// most.
+func (p *Platform) Withdrawn(at time.Duration, office string, call uint64) {
+	p.End(at, office, call, true)
+	if c := p.calls[call]; c != nil && c.wait && c.broken == at {
+		c.broken -= p.Slack
+	}
+}
+
 // Told tells that the journal service told of an office that drains or is gone.
 func (p *Platform) Told(at time.Duration, office string) {
 	if _, ok := p.told[office]; !ok {
--- a/internal/rulecheck/platform_test.go
+++ b/internal/rulecheck/platform_test.go
@@ -20,12 +20,14 @@
 	p.SetUp(1*ms, "a", 1)
 	p.End(100*ms, "a", 1, true)
 	p.SetUp(301*ms, "a", 1)
+	p.Withdrawn(302*ms, "a", 1)
+	p.SetUp(460*ms, "a", 1) // the release was read late
 	p.Told(400*ms, "a")
-	p.End(401*ms, "a", 1, false)
+	p.End(470*ms, "a", 1, false)
 	p.Taken(500*ms, 2, time.Second)
 	p.SetUp(1400*ms, "a", 2)
 	p.GivenUp(2)
-	p.Final(402*ms, 1, 200)
+	p.Final(471*ms, 1, 200)
 	if got := p.Breaches(10 * time.Second); len(got) != 0 {
 		t.Fatal(got)
 	}
@@ -53,6 +55,12 @@
 			}
 			p.Final(1*ms, 1, 200)
 		}},
+		"no release after giving up": {"rule 5", func(p *Platform) {
+			p.SetUp(1*ms, "a", 1)
+			p.Withdrawn(100*ms, "a", 1)
+			p.SetUp(240*ms, "a", 1)
+			p.Final(300*ms, 1, 200)
+		}},
 		"no release": {"rule 5", func(p *Platform) {
 			p.SetUp(1*ms, "a", 1)
 			p.End(100*ms, "a", 1, true)
--- a/node/node.go
+++ b/node/node.go
@@ -327,6 +327,8 @@
 		n.close(e)
 	case callserver.Dial:
 		n.dial(e)
+	case callserver.Confirm:
+		n.self = append(n.self, callserver.Input{Kind: callserver.InWritten})
 	case callserver.AskJournal:
 		n.journal.again()
 	case callserver.Log:
