After two faults of signalling a call tries a tandem, whose call server tries again

Checked, with a line at each attempt's end: all 2,600 faults are at one office, which fails 77% of its set-ups at once, evenly over calls and attempts; 237 of 905 calls that met a fault were refused after their five attempts, and callers here come back after 0.7 to 1.4 s, past the aim of 1.2 s. Calls in transit met faults as often (24 of 32), and were not tried again. Ruled out: circuits (none full), delay (47 ms), the restarts (nothing lost), the time to the caller (215 us). At fault: again() in logic/attempts.go left calls in transit out; pick() in logic/routing.go knew only the direct way while its group has room. Change: calls in transit try again, too; after two faults a call looks for a tandem first, and takes any that is usable, since what turns it back there is the destination. Never more attempts than allowed, never two out.

--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -115,7 +115,7 @@
 		// Faults of signalling strike one set-up and spare the next. The danger: an exchange that fails most
 		// of them quickly; its callers would dial again and stand late. It hurts where nothing stands.
 		k.mayRun = true
-		if o.Note != NoteBusy && !k.Transit && k.dest.sound > floor {
+		if k.struck++; o.Note != NoteBusy && k.dest.sound > floor {
 			k.tried = k.tried[:len(k.tried)-1]
 			c.route(k)
 			return
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,6 +29,7 @@
 	shedBase    = 0.2 // a two-leg call or one of no worth is shed past this part of its aim,
 	shedWorth   = 0.5 // and the worthiest at this much more
 	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
+	nearFaults  = 2   // faults of signalling before a call tries a tandem; 1 and 2 were measured
 	enough      = 3   // later answers that show that one is lost
 	firstTrial  = time.Second
 	lastTrial   = 4 * time.Second
@@ -70,6 +71,7 @@
 	office    string
 	sent      time.Duration
 	attempts  int
+	struck    int // faults of signalling that it has met
 	passed    int // later attempts at the same exchange that were answered before this one
 	part      int // what it counts in of the group's use: its class, or the lowest for two-leg calls
 	// an attempt is out; it stands; the final answer is given; it goes over a tandem; it may have run
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -646,6 +646,40 @@
 	}
 }
 
+// Guards against running out of attempts at an exchange that fails most of them: the call server of a tandem has tries
+// of its own, and uses them.
+func TestFaultsLeadOverATandemThatTriesAgain(t *testing.T) {
+	b := quietBed(t, nil)
+	for i := range 10 {
+		b.h.now += time.Second
+		b.call(0, 1, fmt.Sprint("n", i))
+		k := b.h.calls[b.next]
+		for k.out {
+			if over := k.office != "o1"; over != (k.attempts > nearFaults) {
+				t.Fatalf("attempt %d went to %s", k.attempts, k.office)
+			}
+			b.fails(b.next, Faulted, 0)
+		}
+		if k.attempts != b.c.set.MaxAttempts {
+			t.Fatalf("%d attempts", k.attempts)
+		}
+		b.call(0, 1, fmt.Sprint("good", i))
+		b.stand(b.next)
+	}
+	b.next++
+	b.report("o1", 30)
+	k := &watched{dest: 1, transit: true, due: b.h.now + time.Second}
+	b.h.calls[b.next] = k
+	b.c.Offered(b.h.now, Call{ID: b.next, Dest: 1, Transit: true, Via: -1, TimeLeft: time.Second})
+	b.fails(b.next, Faulted, 0)
+	if !k.out || k.attempts != 2 || k.office != "o1" {
+		t.Errorf("a call in transit after a fault: %+v", k)
+	}
+	for _, p := range b.h.problems {
+		t.Error(p)
+	}
+}
+
 // Guards against turning away all who call the own exchange from here, while the call server of theirs is away.
 func TestOwnExchangeIsReachedOverATandem(t *testing.T) {
 	b := quietBed(t, nil)
--- a/logic/routing.go
+++ b/logic/routing.go
@@ -81,6 +81,12 @@
 		return c.tandem(k), true
 	case !c.reachable(k.dest) || home != nil && !c.set.Pools && !c.warm(home) || c.pressed(k.dest, k, false):
 	case k.allowed(c, k.dest) && c.fits(k.dest, k, k.Transit || c.late(k)):
+		// Faults strike a call at a tandem as they do here, but the call server there has tries of its own.
+		if k.struck >= nearFaults && !k.Transit && !c.late(k) {
+			if t := c.tandem(k); t != nil {
+				return t, true
+			}
+		}
 		return k.dest, k.Transit
 	case !k.Transit && !k.waited && !c.late(k) && !(n != nil && n.gap > 0):
 		return c.tandem(k), true
@@ -114,9 +120,14 @@
 	// A draw falls on each alike and is kept with the chance of its weight: the danger is tries that cost
 	// three processors for nothing. The fewer stand and the longer the own wait, the fewer are looked at.
 	calm := 1 - float64(c.ownDelay())/(shedBase*float64(c.set.Classes[k.Class].Aim))
-	for i := 0.0; i < min(draws, float64(len(c.exchanges)))*c.ease*calm; i++ {
+	looks := min(draws, float64(len(c.exchanges))) * c.ease * calm
+	if k.struck > 0 { // what turns it back there is its destination, and no fault of the tandem
+		looks = draws
+	}
+	for i := 0.0; i < looks; i++ {
 		e := c.exchanges[c.rng.Intn(len(c.exchanges))]
-		if c.usable(e, k) && c.rng.Float64() < c.weightOf(k.dest, e) && (best == nil || e.free > best.free) {
+		if c.usable(e, k) && (k.struck > 0 || c.rng.Float64() < c.weightOf(k.dest, e)) &&
+			(best == nil || e.free > best.free) {
 			best = e
 		}
 	}
