A draining call server stays a tandem until shortly before it may be killed

At fault: left() in node/node.go ended the process as soon as nothing was open. Change: after the 0.7 s in which all must be served the node tells the core when it ends (InLeave); calls taken from then on have no more time than that, and the process ends 0.3 s before the earliest SIGKILL. A probe at the ends of standing calls: calls in transit that still stand at SIGKILL time are cut by the platform, whenever the process ends.

--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -70,6 +70,9 @@
 	c.open++
 	s.open++
 	in.call.ID, in.call.Class, in.call.Number, in.call.TimeLeft = k.id, in.class, in.number, in.left-s.waited
+	if s.until > 0 {
+		in.call.TimeLeft = min(in.call.TimeLeft, s.until-s.now)
+	}
 	s.ctl.Offered(s.now, in.call)
 }
 
--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -36,6 +36,7 @@
 	Bytes   []byte        // not kept
 	Waited  time.Duration // how long the bytes waited in this process: the callers have waited as long
 	Events  []feed.Event
+	Until   time.Duration // Unix time
 }
 
 // Server is one call server. It is not safe for concurrent use; two Servers share nothing.
@@ -53,7 +54,8 @@
 	byID     map[uint64]*call // by the id on the wire: open and standing
 	open     int              // calls without a final answer
 	lastCall uint64
-	claims   int // calls that were taken up as they stood
+	until    time.Duration // when this process ends; 0: not known
+	claims   int           // calls that were taken up as they stood
 	offices  map[string]*exchange
 	probes   map[uint64]*probe
 	owed     []release // releases that no caller's connection could carry yet
@@ -133,6 +135,8 @@
 		s.waited = 0
 	case InStuck:
 		s.stuck(in.Conn, in.On)
+	case InLeave:
+		s.until = in.Until
 	case InJournal:
 		for i := range in.Events {
 			s.journal(&in.Events[i])
--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -653,6 +653,29 @@
 	}
 }
 
+// The danger: a process that leaves is killed with calls on it, or its exchange is no tandem all the while.
+func TestCallsTakenWhileLeavingAreOverInTime(t *testing.T) {
+	b := newBench(t, nil)
+	b.up("10.0.0.1:5080")
+	c := b.caller()
+	b.say(c, invite(1, "dest:1;width:1"))
+	end := b.now + 500*time.Millisecond
+	b.apply(Input{Kind: InLeave, Until: end})
+	b.say(c, invite(2, "dest:1;width:1;transit:1")) // its office says nothing
+	b.say(c, invite(3, "dest:1;width:1;transit:1"))
+	b.up("10.0.0.1:5080")
+	a, _ := b.setUp(3)
+	b.office(a, answer(3))
+	same(t, "a call in transit", b.heard(c), "200")
+	b.pass(end - b.now)
+	same(t, "a call in transit at the end", b.heard(c), "500")
+	b.say(c, invite(4, "dest:1;width:1"))
+	same(t, "a call after the end", b.heard(c), "503")
+	if open, _ := b.s.Held(); open != 1 {
+		t.Errorf("%d calls are open, not the one taken before", open)
+	}
+}
+
 // The danger: a machine that vanished leaves its connections open, and each trial after its return would go to one of
 // them; and strangers who ask for a year, or say that calls stand which do not.
 func TestVanishedMachineAndAbsurdPatience(t *testing.T) {
--- a/callserver/effects.go
+++ b/callserver/effects.go
@@ -76,5 +76,6 @@
 	InStuck                      // Conn, On: bytes wait that TCP does not take
 	InJournal                    // Events
 	InAdvance                    // time has gone on
+	InLeave                      // Until: no call that is taken from now on may be open later
 	InWritten                    // what came before a Confirm has been carried out
 )
--- a/node/node.go
+++ b/node/node.go
@@ -42,6 +42,7 @@
 	journal  *follower
 	lingers  link.Places
 	leaving  time.Duration // when the drain began; 0: it has not
+	until    time.Duration // when it is to end, once the core knows
 }
 
 // input is what a goroutine hands to the loop.
@@ -383,31 +384,46 @@
 	}()
 }
 
-// The drain: arrivals end 0.6 s after SIGTERM, and what comes within 0.7 s must be answered.
+// The drain. Subscribers' calls end 0.6 s after SIGTERM, but calls in transit come for as long as the process runs, and
+// without it no other call server can use this exchange as a tandem. SIGKILL comes no earlier than the longest deadline,
+// of which 3 s count, and 0.7 s after SIGTERM; of what comes later than 0.7 s nothing may be open then.
 const (
-	drainServe = 750 * time.Millisecond
+	drainServe = 700 * time.Millisecond
+	drainMost  = 3 * time.Second
+	drainSpare = 300 * time.Millisecond // before the earliest SIGKILL
 	drainLook  = 20 * time.Millisecond
-	drainSpare = 400 * time.Millisecond
 )
 
-// left goes on with a drain and tells whether it is over: nothing is open, or the longest deadline has passed.
+// longest is the longest deadline of a class.
+func (n *Node) longest() (d time.Duration) {
+	for _, k := range n.cfg.Settings.Classes {
+		d = max(d, k.Deadline)
+	}
+	return d
+}
+
+// left goes on with a drain and tells whether it is over: its time is up and nothing is open, or all that was taken
+// at first has reached its deadline.
 func (n *Node) left() bool {
-	passed := n.now() - n.leaving
+	passed, stay := n.now()-n.leaving, min(n.longest(), drainMost)+drainServe-drainSpare
 	if passed < drainServe {
 		return false
 	}
-	n.listener.Close()
-	longest := time.Duration(0)
-	for _, k := range n.cfg.Settings.Classes {
-		longest = max(longest, k.Deadline)
+	if n.until == 0 {
+		n.until = n.leaving + stay
+		n.core.Apply(callserver.Input{At: n.now(), Kind: callserver.InLeave, Until: n.until})
+	}
+	if passed < stay {
+		return false
 	}
+	n.listener.Close()
 	open, _ := n.core.Held()
-	return open == 0 || passed > longest+drainSpare
+	return open == 0 || passed > n.longest()+drainServe
 }
 
 // closeAll closes the connections in order: what was written to them has gone out before.
 func (n *Node) closeAll() {
-	deadline := time.Now().Add(drainSpare / 2)
+	deadline := time.Now().Add(drainSpare / 3)
 	for _, l := range n.links {
 		if n.leaving > 0 {
 			l.Drain(deadline)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -36,14 +36,16 @@
 	ended   chan error
 	journal *platform.Journal
 	path    string
+	set     *strings.Replacer // changes to the settings that the node is told
 	offices []*platform.Office
 	addr    string
 }
 
-func newStage(t *testing.T, deed func(call uint64, attempt int) platform.Deed) *stage {
+func newStage(t *testing.T, deed func(call uint64, attempt int) platform.Deed, set ...string) *stage {
 	t.Helper()
 	check := rulecheck.NewPlatform(200*time.Millisecond, time.Second, 50*time.Millisecond)
-	s := &stage{t: t, world: platform.NewWorld(check), ended: make(chan error, 1), path: filepath.Join(t.TempDir(), "config.json")}
+	s := &stage{t: t, world: platform.NewWorld(check), ended: make(chan error, 1), path: filepath.Join(t.TempDir(), "config.json"),
+		set: strings.NewReplacer(set...)}
 	for cell, id := range []string{"s-own", "s-a", "s-b"} {
 		o, err := s.world.NewOffice(id, cell, 300*time.Millisecond, deed)
 		if err != nil {
@@ -92,7 +94,7 @@
 		s.t.Fatal(err)
 	}
 	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","journal":%q,"seed":"8c1f","limits":{"cores":1,"memory_mb":64,"sockets":256},"known":%s,"settings":%s}`,
-		journal, known, settingsText)
+		journal, known, s.set.Replace(settingsText))
 	if err := os.WriteFile(s.path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -265,7 +267,8 @@
 	s.judge()
 }
 
-// A drain answers what was taken before it and meanwhile, and then ends.
+// A drain answers what was taken before it and meanwhile, serves calls in transit until shortly before it may be
+// killed, and then ends.
 func TestDrainAnswersWhatWasTaken(t *testing.T) {
 	t.Parallel()
 	s := newStage(t, func(call uint64, _ int) platform.Deed {
@@ -273,9 +276,10 @@
 			return platform.Mute
 		}
 		return platform.Stand
-	})
+	}, `"deadline_ns":3000000000`, `"deadline_ns":1500000000`)
 	c := s.dial()
 	s.invite(c, 1, 1, 1500*time.Millisecond)
+	kill := time.Now().Add(1500*time.Millisecond + drainServe)
 	s.node.Leave()
 	s.invite(c, 2, 2, time.Second)
 	d := s.dial()
@@ -286,15 +290,19 @@
 	if h := s.await(d, "the answer of call 3", final(3)); h.Status != 200 {
 		t.Errorf("call 3: %d", h.Status)
 	}
-	s.await(c, "the answer of call 1", final(1))
+	s.await(c, "the answer of call 1", final(1)) // after 1.5 s
+	s.invite(d, 4, 2, 9*time.Second)
+	if h := s.await(d, "the answer of call 4", final(4)); h.Status != 200 {
+		t.Errorf("call 4, in transit: %d", h.Status)
+	}
 	select {
 	case err := <-s.ended:
 		s.ended <- err
 		if err != nil {
 			t.Error(err)
 		}
-	case <-time.After(4 * time.Second):
-		t.Fatal("the drain does not end")
+	case <-time.After(time.Until(kill)):
+		t.Fatal("the drain does not end before it may be killed")
 	}
 	s.judge()
 }
