Loopback tests of calls that stand, silent machines, ids in use, and nodes that break each rule

Now over the whole program: calls that stand already (at) are taken up without an answer and released at both ends; a machine that says nothing harms nobody else's call and gets calls again; an id in use is refused with 482 to others and its call untouched. No product code is changed.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -96,6 +97,44 @@
 	return l.Addr().String(), nil
 }
 
+// Relay stands before a process and passes on what comes, both ways. A call server behind it breaks rules: with twice
+// all that comes back is said twice, and what is sent there goes to also, too.
+func (w *World) Relay(addr, also string, twice bool) (string, error) {
+	return w.serve(func(in net.Conn) {
+		out, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		var to io.Writer = out
+		if also != "" {
+			copied, err := net.Dial("tcp", also)
+			if err != nil {
+				out.Close()
+				return
+			}
+			defer copied.Close()
+			to = io.MultiWriter(out, copied)
+		}
+		w.wg.Add(1)
+		go func() {
+			defer w.wg.Done()
+			defer in.Close()
+			buf := make([]byte, 16<<10)
+			for {
+				n, err := out.Read(buf)
+				for range map[bool]int{false: 1, true: 2}[twice] {
+					_, _ = in.Write(buf[:n])
+				}
+				if err != nil {
+					return
+				}
+			}
+		}()
+		_, _ = io.Copy(to, in)
+		out.Close()
+	})
+}
+
 // Deed is what an office does with a set-up.
 type Deed int
 
@@ -136,6 +175,25 @@
 	return o, err
 }
 
+// Take has calls stand here of which the call server does not know.
+func (o *Office) Take(calls ...uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, call := range calls {
+		o.stood[call] = true
+	}
+}
+
+// Standing tells how many calls stand here.
+func (o *Office) Standing() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.stood)
+}
+
+// End ends a call that stands here.
+func (o *Office) End(call uint64) { o.release(call) }
+
 // SetUps is how many set-ups of a call have come.
 func (o *Office) SetUps(call uint64) int {
 	o.mu.Lock()
@@ -478,9 +536,19 @@
 // Invite sends a set-up and tells the checker that it is taken.
 func (c *Caller) Invite(call uint64, dest int, patience time.Duration) error {
 	c.world.Judge(func(at time.Duration, p *rulecheck.Platform) { p.Taken(at, call, patience) })
-	_, err := fmt.Fprintf(c, "INVITE sip:%016x@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %016x\r\nCSeq: 1 INVITE\r\nX-Cos: status-check\r\n"+
-		"X-Timer-Ms: %d\r\nX-Legs: dest:%d;width:1;via:-1\r\nContent-Length: %d\r\n\r\n%s", call, call, patience.Milliseconds(), dest,
-		len(Description), Description)
+	_, err := io.WriteString(c, Invitation(call, patience, fmt.Sprintf("dest:%d;width:1;via:-1", dest)))
+	return err
+}
+
+// Invitation is a set-up with figures of any kind; whoever writes it by himself tells the checker nothing.
+func Invitation(call uint64, patience time.Duration, legs string) string {
+	return fmt.Sprintf("INVITE sip:%016x@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: %016x\r\nCSeq: 1 INVITE\r\nX-Cos: status-check\r\n"+
+		"X-Timer-Ms: %d\r\nX-Legs: %s\r\nContent-Length: %d\r\n\r\n%s", call, call, patience.Milliseconds(), legs, len(Description), Description)
+}
+
+// Bye releases a call that stands.
+func (c *Caller) Bye(call uint64) error {
+	_, err := fmt.Fprintf(c, "BYE sip:exchange@net SIP/2.0\r\nCall-ID: %016x\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n", call)
 	return err
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,7 +9,10 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,11 +44,11 @@
 	addr    string
 }
 
-func newStage(t *testing.T, deed func(call uint64, attempt int) platform.Deed, set ...string) *stage {
+func newStage(t *testing.T, deed func(call uint64, attempt int) platform.Deed, change ...func(*stage)) *stage {
 	t.Helper()
 	check := rulecheck.NewPlatform(200*time.Millisecond, time.Second, 50*time.Millisecond)
 	s := &stage{t: t, world: platform.NewWorld(check), ended: make(chan error, 1), path: filepath.Join(t.TempDir(), "config.json"),
-		set: strings.NewReplacer(set...)}
+		set: strings.NewReplacer()}
 	for cell, id := range []string{"s-own", "s-a", "s-b"} {
 		o, err := s.world.NewOffice(id, cell, 300*time.Millisecond, deed)
 		if err != nil {
@@ -53,6 +56,9 @@
 		}
 		s.offices = append(s.offices, o)
 	}
+	for _, f := range change {
+		f(s)
+	}
 	var err error
 	if s.journal, err = s.world.NewJournal(s.list(1, true, s.offices...)); err != nil {
 		t.Fatal(err)
@@ -276,7 +282,7 @@
 			return platform.Mute
 		}
 		return platform.Stand
-	}, `"deadline_ns":3000000000`, `"deadline_ns":1500000000`)
+	}, func(s *stage) { s.set = strings.NewReplacer(`"deadline_ns":3000000000`, `"deadline_ns":1500000000`) })
 	c := s.dial()
 	s.invite(c, 1, 1, 1500*time.Millisecond)
 	kill := time.Now().Add(1500*time.Millisecond + drainServe)
@@ -307,6 +313,165 @@
 	s.judge()
 }
 
+// What stood before this process began is taken up without an answer, and released at both ends.
+func TestCallsThatStandAlready(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, func(uint64, int) platform.Deed { return platform.Stand })
+	s.offices[1].Take(1, 2)
+	c := s.dial()
+	for id := uint64(1); id <= 2; id++ {
+		if _, err := io.WriteString(c, platform.Invitation(id, time.Second, "dest:1;width:1;via:-1;at:s-a")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.invite(c, 3, 1, time.Second) // a connection to the office is up once this one stands
+	s.await(c, "the answer of call 3, and none before", func(h platform.Heard) bool {
+		if h.Call != 3 {
+			t.Errorf("call %d, which stands, hears %+v", h.Call, h)
+		}
+		return h.Status == 200
+	})
+	s.offices[1].End(1)
+	s.await(c, "the release of call 1", func(h platform.Heard) bool { return h.Method == "BYE" && h.Call == 1 && h.Status == 0 })
+	if err := c.Bye(2); err != nil {
+		t.Fatal(err)
+	}
+	s.await(c, "that the release of call 2 is heard", func(h platform.Heard) bool { return h.Method == "BYE" && h.Call == 2 && h.Status == 200 })
+	s.await(c, "the release of call 3", func(h platform.Heard) bool { return h.Method == "BYE" && h.Call == 3 })
+	if n := s.offices[1].Standing(); n != 0 { // call 3 has ended, and the release of call 2 came long before
+		t.Errorf("%d calls still stand at the office", n)
+	}
+	s.judge()
+}
+
+// A machine that says nothing any more harms no call to another one; when it is back it gets calls again. And an id that
+// is in use is refused to others, and its call untouched.
+func TestSilentMachineAndIDsInUse(t *testing.T) {
+	t.Parallel()
+	var silent atomic.Bool
+	silent.Store(true)
+	s := newStage(t, func(call uint64, _ int) platform.Deed {
+		if silent.Load() && call%2 == 0 { // those to s-a
+			return platform.Mute
+		}
+		return platform.Stand
+	})
+	c := s.dial()
+	for id := uint64(1); id <= 20; id++ {
+		s.invite(c, id, 2-int(id+1)%2, 1500*time.Millisecond)
+	}
+	limit := time.Now().Add(time.Second)
+	for s.offices[1].SetUps(2) == 0 && time.Now().Before(limit) { // the first call is there
+		runtime.Gosched()
+	}
+	other, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	_ = other.SetDeadline(time.Now().Add(time.Second))
+	answer := make([]byte, len("SIP/2.0 482"))
+	if _, err = io.WriteString(other, platform.Invitation(2, time.Second, "dest:2;width:1;via:-1")); err == nil {
+		_, err = io.ReadFull(other, answer)
+	}
+	if err != nil || string(answer) != "SIP/2.0 482" {
+		t.Errorf("an id in use: %q, %v", answer, err)
+	}
+	for left := 20; left > 0; {
+		h := s.await(c, "the answers", func(h platform.Heard) bool { return h.Method == "INVITE" })
+		left--
+		if stands := h.Status == 200; stands != (h.Call%2 == 1) {
+			t.Errorf("call %d: %d", h.Call, h.Status)
+		}
+	}
+	silent.Store(false)
+	limit = time.Now().Add(6 * time.Second)
+	for id := uint64(22); ; id += 2 { // a trial finds it, at growing gaps
+		s.invite(c, id, 1, time.Second)
+		if h := s.await(c, "an answer", final(id)); h.Status == 200 {
+			break
+		}
+		if time.Now().After(limit) {
+			t.Fatal("a machine that is back gets no calls")
+		}
+	}
+	s.judge()
+}
+
+// The checker finds a node that breaks a rule on the sockets: through settings that are not the platform's, behind relays
+// that say things twice, or kept from what was told.
+func TestBreachesOfANodeAreFound(t *testing.T) {
+	t.Parallel()
+	for rule, play := range map[string]struct {
+		change func(*stage)
+		before func(*stage)
+	}{
+		"rule 1": {before: func(s *stage) { s.addr = s.relay(s.addr, "", true) }},
+		"rule 2": {change: func(s *stage) {
+			s.offices[1].Member.Addr = s.relay(s.offices[1].Member.Addr, s.offices[2].Member.Addr, false)
+		}},
+		"rule 3": {before: func(s *stage) {
+			s.world.Judge(func(at time.Duration, p *rulecheck.Platform) { p.Told(at-2*time.Second, "s-a") })
+		}},
+		"rule 4": {before: func(s *stage) {
+			s.world.Judge(func(at time.Duration, p *rulecheck.Platform) {
+				p.TipAfter, p.Cold = 3*time.Second, 3
+				p.Started(at, "s-a")
+			})
+		}},
+		"rule 5": {change: func(s *stage) { s.set = strings.NewReplacer(`"release_ns":200000000`, `"release_ns":1000000`) }},
+	} {
+		t.Run(rule, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, func(call uint64, attempt int) platform.Deed {
+				switch {
+				case rule == "rule 2":
+					return platform.Mute
+				case rule == "rule 5" && attempt == 1:
+					return platform.Reset
+				}
+				return platform.Stand
+			}, func(s *stage) {
+				if play.change != nil {
+					play.change(s)
+				}
+			})
+			if play.before != nil {
+				play.before(s)
+			}
+			c := s.dial()
+			for id := uint64(1); id <= 8; id++ {
+				s.invite(c, id, 1, time.Second)
+			}
+			for range 8 {
+				s.await(c, "an answer", func(h platform.Heard) bool { return h.Method == "INVITE" })
+			}
+			limit := time.Now().Add(2 * time.Second)
+			for { // what a relay says the second time comes a moment later
+				var got []string
+				s.world.Judge(func(at time.Duration, p *rulecheck.Platform) { got = p.Breaches(at) })
+				if slices.ContainsFunc(got, func(b string) bool { return strings.Contains(b, rule) }) {
+					break
+				}
+				if time.Now().After(limit) {
+					t.Fatalf("found %q", got)
+				}
+				runtime.Gosched()
+			}
+		})
+	}
+}
+
+// relay stands before an address.
+func (s *stage) relay(addr, also string, twice bool) string {
+	s.t.Helper()
+	relay, err := s.world.Relay(addr, also, twice)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return relay
+}
+
 // Strangers get a refusal, an error or a close within 3 s, and callers do not notice them.
 func TestStrangers(t *testing.T) {
 	t.Parallel()
