Fresh connections fetch releases that may be lost; calls over before their answer are answered

Checked, with a line at each connection's end, each dial and each release: every release comes exactly once; two came only on a connection that was 5 and 19 ms old, 0.33 s after one with a missing answer was closed, and 0.35 and 2.9 s after that of their set-up. An office that writes a release on a dead connection says it again on the next one that is opened, and spare() in callserver/offices.go opens none while idle ones are at hand. Callers heard each BYE; none went to another connection. Change: a fresh connection when one has ended or come into doubt, once more 0.4 s later, and while an answer is missing for 0.25 s; idle ones make room, so their number does not grow (test).

--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -166,6 +166,17 @@
 	s.ctl.Outcome(s.now, o)
 }
 
+// missed ends a call that has stood and is over while its caller still waits: the answer was lost on its way. The
+// caller is told now; another attempt would be a second run of what has run to its end.
+func (s *Server) missed(k *call) {
+	s.log(slog.LevelInfo, "call is over whose answer was lost", slog.String("call", k.callID), slog.String("office", k.at.id))
+	s.totals.Failed++
+	s.respond(k.from, k.head, 500, 0, nil)
+	s.answered(k)
+	s.ctl.HungUp(s.now, k.id)
+	s.forget(k)
+}
+
 // endStanding releases a call that stood toward its caller.
 func (s *Server) endStanding(k *call, status logic.Status, cause byte, load []float64) {
 	s.finish(k, logic.Outcome{Status: status, Load: load})
--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -86,6 +86,7 @@
 	timerCaller                   // a caller's connection has had time to say something whole
 	timerAssoc                    // a message of an office has had time to end
 	timerRedial
+	timerLook  // at connections to an office that may be dead
 	timerGrace // what has not gone out to a draining office by now must not go out any more
 	timerProbe
 	timerClaim // a standing call at an office that no list has named
@@ -208,6 +209,8 @@
 		s.checkAssoc(ConnID(t.id), t.n)
 	case timerRedial:
 		s.redial(t.at)
+	case timerLook:
+		s.look(t.at)
 	case timerGrace:
 		s.graceOver(t.at)
 	case timerProbe:
--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -344,6 +344,89 @@
 	}
 }
 
+// The danger: an answer is lost, its call comes to its end at the office, and another attempt runs it a second time, long
+// after its caller should have been told.
+func TestCallThatIsOverBeforeItsAnswerCame(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"its attempt is out": 0, "its attempt was given up": 100 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.up("10.0.0.1:5080")
+			c := b.caller()
+			b.say(c, invite(7, "dest:1;width:1"))
+			on, _ := b.setUp(7)
+			b.pass(700 * time.Millisecond)
+			for id := uint64(8); id < 11 && wait > 0; id++ { // three later calls pass it: it is called off
+				b.up("10.0.0.1:5080")
+				b.say(c, invite(id, "dest:1;width:1"))
+				later, _ := b.setUp(id)
+				b.office(later, answer(id))
+			}
+			b.pass(wait)
+			b.heard(c)
+			given := b.sent(on)
+			b.up("10.0.0.1:5080")
+			all := b.s.offices["s-1"].assocs
+			b.office(all[len(all)-1].id, ends(7, office.CauseNormal, ""))
+			same(t, "the caller", b.heard(c), "500")
+			if given = append(given, b.sent(on)...); len(given) != 1 || given[0].Type != office.Release {
+				t.Errorf("the office hears %v on the first connection", given)
+			}
+			b.pass(2 * time.Second)
+			same(t, "the caller later", b.heard(c))
+			if b.s.calls[1] != nil || b.s.byID[7] != nil {
+				t.Error("the call is kept")
+			}
+		})
+	}
+}
+
+// The danger: an office's release is lost on a connection that is dead, and said again on the next one that is opened;
+// but none is, as idle ones are at hand, and the caller is not told within the second.
+func TestAFreshConnectionFetchesReleasesThatMayBeLost(t *testing.T) {
+	for name, lose := range map[string]func(b *bench, c, on ConnID){
+		"its connection ends": func(b *bench, _, on ConnID) { b.apply(Input{Kind: InClosed, Conn: on}) },
+		"an answer is missing on another": func(b *bench, c, _ ConnID) {
+			b.say(c, invite(8, "dest:1;width:1"))
+			b.up("10.0.0.1:5080") // what is kept ready is no fresh one
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.up("10.0.0.1:5080")
+			c := b.caller()
+			b.say(c, invite(7, "dest:1;width:1"))
+			on, _ := b.setUp(7)
+			b.up("10.0.0.1:5080")
+			b.office(on, answer(7))
+			same(t, "the call", b.heard(c), "200")
+			idle := len(b.s.offices["s-1"].assocs)
+			lose(b, c, on)
+			for i := range 2 { // the release may be written a moment after the first fresh one
+				late := b.now + 700*time.Millisecond
+				for b.up("10.0.0.1:5080") == 0 {
+					if b.now > late {
+						t.Fatalf("fresh connection %d does not come", i)
+					}
+					b.pass(20 * time.Millisecond)
+				}
+			}
+			last := b.s.offices["s-1"].assocs
+			b.office(last[len(last)-1].id, ends(7, office.CauseNormal, ""))
+			same(t, "the release that is said again", b.heard(c), "BYE")
+			for range 50 { // idle ones end all the time
+				a := b.s.offices["s-1"].assocs
+				b.apply(Input{Kind: InClosed, Conn: a[0].id})
+				b.up("10.0.0.1:5080")
+				b.pass(time.Second)
+				b.up("10.0.0.1:5080")
+			}
+			if n := len(b.s.offices["s-1"].assocs); n > idle+spareConns {
+				t.Errorf("%d connections", n)
+			}
+		})
+	}
+}
+
 // The danger: an office whose end of the set-up's connection has died, unseen here, releases on any other open one.
 func TestReleaseOnAnotherConnectionOfTheOffice(t *testing.T) {
 	b := newBench(t, nil)
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -18,10 +18,12 @@
 	assocs   []*assoc
 	waiting  []*call // attempts without a connection yet
 	standing int
-	load     string    // state of its group as it was told last,
-	teller   *assoc    // and the connection that told it first
-	owed     []release // of calls that stood, for the next connection
-	failures int       // connections that did not come up, in a row
+	load     string        // state of its group as it was told last,
+	teller   *assoc        // and the connection that told it first
+	owed     []release     // of calls that stood, for the next connection
+	lost     time.Duration // when a connection last ended or fell into doubt
+	watched  bool          // a look at its connections is due
+	failures int           // connections that did not come up, in a row
 	redialAt time.Duration
 	count    count
 }
@@ -69,6 +71,9 @@
 	lastRedial  = time.Second
 	endWithin   = 250 * time.Millisecond // the rest of a message of 16 KiB at most comes at once, or never
 	mostPerDest = 24
+	lookEvery   = 400 * time.Millisecond // at connections that may be dead: a release must be passed on within 1 s,
+	slowAnswer  = 250 * time.Millisecond // and one that owes an answer for so long may be
+	spareConns  = 2                      // more that are idle make room for a fresh one
 )
 
 // share is how many connections an office may have.
@@ -124,12 +129,78 @@
 	if dialling > 0 || idle > 0 && len(x.waiting) == 0 || len(x.assocs) >= s.share()+len(x.waiting) || s.now < x.redialAt {
 		return
 	}
+	s.dial(x)
+}
+
+func (s *Server) dial(x *exchange) {
 	s.lastConn++
 	a := &assoc{id: s.lastConn, to: x, born: s.now}
 	x.assocs, s.assocs[a.id] = append(x.assocs, a), a
 	s.emit(Dial{Conn: a.id, Addr: x.addr, Within: s.cfg.ConnectTimeout})
 }
 
+// watch looks at an office's connections from now on while there is something to see.
+func (s *Server) watch(x *exchange) {
+	if !x.watched {
+		x.watched = true
+		s.arm(lookEvery, timer{kind: timerLook, at: x.id})
+	}
+}
+
+// ended takes the news that a connection is no more, or in doubt. What its office wrote on it last may be lost.
+func (s *Server) ended(x *exchange) {
+	x.lost = s.now
+	s.renew(x)
+	s.watch(x)
+}
+
+// look opens a fresh connection where a release may have been lost since the last look, or may be lost now.
+func (s *Server) look(id string) {
+	x := s.offices[id]
+	if x == nil {
+		return
+	}
+	x.watched = false
+	open, slow := false, false
+	for _, a := range x.assocs {
+		for _, k := range a.open {
+			open, slow = true, slow || s.now-k.sent >= slowAnswer
+		}
+	}
+	lost := x.lost > 0 && s.now-x.lost <= 2*lookEvery
+	if lost || slow {
+		s.renew(x)
+	}
+	if lost || open {
+		s.watch(x)
+	}
+}
+
+// renew opens a connection beside those that are up. An office writes a release on the connection of its set-up or on
+// any that is open, and again on the next one that is opened: the danger is that the first is dead, and no other is
+// opened while idle ones are at hand, so that the caller of a call that is over is not told in time.
+func (s *Server) renew(x *exchange) {
+	if x.standing == 0 || x.state == logic.Gone || s.now < x.redialAt {
+		return
+	}
+	var idle []*assoc
+	for _, a := range x.assocs {
+		switch {
+		case !a.up:
+			return // one is on its way
+		case len(a.open) == 0 && !a.stuck:
+			idle = append(idle, a)
+		}
+	}
+	if len(idle) >= spareConns {
+		s.emit(Close{Conn: idle[0].id}) // the oldest
+		s.remove(idle[0])
+	} else if len(x.assocs) >= s.share() {
+		return
+	}
+	s.dial(x)
+}
+
 // redial tries again to reach an office.
 func (s *Server) redial(id string) {
 	if x := s.offices[id]; x != nil && s.now >= x.redialAt {
@@ -140,6 +211,7 @@
 // setUp writes the set-up of an attempt.
 func (s *Server) setUp(a *assoc, k *call) {
 	k.on, k.written = a, true
+	s.watch(a.to)
 	a.open = append(a.open, k)
 	left := max(1, int((k.deadline-s.now)/time.Millisecond))
 	s.send(a, &office.Message{Type: office.SetUp, Call: k.wire, Class: k.name, Wait: left, Number: k.number,
@@ -229,6 +301,7 @@
 	for _, k := range open {
 		s.over(k, logic.Outcome{Status: logic.Reset})
 	}
+	s.ended(x)
 	s.spare(x)
 }
 
@@ -260,6 +333,7 @@
 	if a.doubtful && len(a.open) == 0 && s.assocs[a.id] == a {
 		s.emit(Close{Conn: a.id})
 		s.remove(a)
+		s.ended(a.to)
 	}
 }
 
@@ -364,9 +438,15 @@
 		return
 	}
 	k := s.byID[m.Call]
-	if k == nil || k.state != standing || k.at != a.to {
+	if k == nil || k.at != a.to {
 		return // of a call that is over already
 	}
+	if k.state == settingUp {
+		if m.HasCause && m.Cause == office.CauseNormal { // so ends only what has stood
+			s.missed(k)
+		}
+		return
+	}
 	if slices.Contains(k.past, a.id) && m.Cause != office.CauseNormal && k.on != nil && s.assocs[k.on.id] == k.on {
 		return // of an earlier attempt: only a call that stood ends with the normal cause
 	}
--- a/logic/evidence.go
+++ b/logic/evidence.go
@@ -107,6 +107,9 @@
 	}
 	if since := max(k.sent, e.heard); c.seen-since > c.patience(e) {
 		c.mute(e, since)
+		if len(e.out) == 1 { // one answer may be lost, with nothing sent since: the next call finds out
+			e.trialGap, e.nextTrial = c.patience(e), c.now
+		}
 	}
 	return e.silent
 }
