--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -604,6 +604,25 @@
 	}
 }
 
+// Guards against a second without calls for one lost answer, where the group was full and nothing could pass it.
+func TestOneLostAnswerIsNoSilence(t *testing.T) {
+	for lost := 1; lost <= 2; lost++ { // two are a silence: a trial after a second
+		b := quietBed(t, nil)
+		for i := range lost {
+			if got := b.call(0, 1, fmt.Sprint("lost", i)); got != "send 1" {
+				t.Fatalf("call %d: %q", i, got)
+			}
+		}
+		b.report("o1", 0)
+		b.h.now += b.c.patience(b.c.exchange(1, false)) + 10*time.Millisecond
+		b.report("o1", 5)
+		b.h.now += 10 * time.Millisecond
+		if got := b.call(1, 1, "next"); (got == "send 1") != (lost == 1) {
+			t.Errorf("%d answers missing: %q", lost, got)
+		}
+	}
+}
+
 // A list that goes on naming new offices must not grow without end.
 func TestGoneOfficesAreForgotten(t *testing.T) {
 	b := quietBed(t, nil)
