--- a/logic/routing.go
+++ b/logic/routing.go
@@ -121,7 +121,7 @@
 	// three processors for nothing. The fewer stand and the longer the own wait, the fewer are looked at.
 	calm := 1 - float64(c.ownDelay())/(shedBase*float64(c.set.Classes[k.Class].Aim))
 	looks := min(draws, float64(len(c.exchanges))) * c.ease * calm
-	// What turns a call back that met faults is its destination, and no fault of the tandem. And from here a call
+	// A call that met faults is turned back by its destination, not by the tandem. And from here a call
 	// to the own exchange has no other way.
 	if k.struck > 0 || k.dest.number == c.set.Home && !c.set.Pools {
 		looks = draws
