Delays fade and silent exchanges are tried again by the aims, not by seconds

Lines at fault: halfLife, firstTrial and lastTrial in logic/logic.go.

Change: 0.8 of the shortest aim for the half-life and the first gap, 3.2 for the longest (a second and four at an aim of 1.2 s, as before). Settings without aims count as a second. Tests at aims of 0.2 s, 1 s and none.

--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -31,7 +31,7 @@
 	}
 	if e.silent {
 		e.nextTrial = c.now + e.trialGap
-		e.trialGap = min(2*e.trialGap, lastTrial)
+		e.trialGap = min(2*e.trialGap, time.Duration(lastTrial*float64(c.aim)))
 	}
 	c.host.Send(k.ID, k.office, left)
 }
--- a/logic/evidence.go
+++ b/logic/evidence.go
@@ -50,7 +50,7 @@
 
 // delayOf is the set-up delay to expect: the fading mean, or the age of the oldest direct attempt in line.
 func (c *Controller) delayOf(e *exchange) time.Duration {
-	d := time.Duration(float64(e.delay) * math.Exp2(-float64(c.now-e.delayAt)/float64(halfLife)))
+	d := time.Duration(float64(e.delay) * math.Exp2(-float64(c.now-e.delayAt)/float64(c.fade)))
 	if k := e.oldest(); k != nil && !k.twoLeg {
 		d = max(d, c.seen-k.sent)
 	}
@@ -68,7 +68,7 @@
 
 // ownDelay is the delay that all answers share, most likely the own processor's. Each quicker one lowers it.
 func (c *Controller) ownDelay() time.Duration {
-	if c.now-c.ownAt > 2*halfLife {
+	if c.now-c.ownAt > 2*c.fade {
 		return 0
 	}
 	return c.own
@@ -81,7 +81,7 @@
 		c.own, c.ownAt = min(d, own+time.Duration(pool*float64(d-own))), c.now
 	}
 	old := c.delayOf(e)
-	if c.now-e.delayAt > 4*halfLife {
+	if c.now-e.delayAt > 4*c.fade {
 		old = d
 	}
 	e.delay, e.delayAt = old+time.Duration(smooth*float64(d-old)), c.now
@@ -139,7 +139,8 @@
 // mute leaves an exchange to single trials.
 func (c *Controller) mute(e *exchange, since time.Duration) {
 	if !e.silent {
-		e.silent, e.silentFrom, e.trialGap, e.nextTrial = true, since, firstTrial, c.now+firstTrial
+		gap := time.Duration(firstTrial * float64(c.aim))
+		e.silent, e.silentFrom, e.trialGap, e.nextTrial = true, since, gap, c.now+gap
 		c.host.Log(fmt.Sprintf("silent exchange=%d", e.number))
 	}
 }
--- a/logic/guards.go
+++ b/logic/guards.go
@@ -68,7 +68,7 @@
 	if float64(c.delayOf(e)) > part*float64(cl.Aim) {
 		return twoLeg || !e.silent && (len(e.out) > 0 || c.now > k.born+cl.Aim)
 	}
-	if eps := e.eps * math.Exp2(-float64(c.now-e.epsAt)/float64(2*halfLife)); eps > 0.02 {
+	if eps := e.eps * math.Exp2(-float64(c.now-e.epsAt)/float64(2*c.fade)); eps > 0.02 {
 		return twoLeg || k.Class != c.top && c.rng.Float64() < eps
 	}
 	return false
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,14 +25,14 @@
 	pool        = 0.1  // weight of a new outcome in what is learnt of all pairs together
 	draws       = 16.0 // tandems looked at for a blocked call, where all are usable and processors idle
 	smooth      = 0.3  // weight of a new set-up delay in the running mean
-	halfLife    = time.Second
-	shedBase    = 0.2 // a two-leg call or one of no worth is shed past this part of its aim,
-	shedWorth   = 0.5 // and the worthiest at this much more
-	silentPart  = 0.5 // an exchange is silent after this part of the shortest aim without any answer
-	nearFaults  = 2   // faults of signalling before a call tries a tandem; 1 and 2 were measured
-	enough      = 3   // later answers that show that one is lost
-	firstTrial  = time.Second
-	lastTrial   = 4 * time.Second
+	fadePart    = 0.8  // half of what is known of a delay fades in this part of the shortest aim
+	shedBase    = 0.2  // a two-leg call or one of no worth is shed past this part of its aim,
+	shedWorth   = 0.5  // and the worthiest at this much more
+	silentPart  = 0.5  // an exchange is silent after this part of the shortest aim without any answer
+	nearFaults  = 2    // faults of signalling before a call tries a tandem; 1 and 2 were measured
+	enough      = 3    // later answers that show that one is lost
+	firstTrial  = 0.8  // first and longest gap between trials of a silent exchange, in shortest aims
+	lastTrial   = 3.2
 	waitPart    = 0.7                    // a blocked call waits for a circuit for this part of its aim
 	comeBack    = 0.25                   // a refused caller is asked to come again after this part of the aim
 	coldUse     = 0.75                   // part of the cold budget that is used steadily,
@@ -55,7 +55,7 @@
 	numbers           map[string]*number
 	top               int // the worthiest class
 	topWorth          float64
-	aim               time.Duration // the shortest aim
+	aim, fade         time.Duration // the shortest aim, and the half-life of delays
 	spare, sz, eps    int           // places in reports; -1 absent
 	counts            counts        // of all groups; the last class is blocked calls that looked for a tandem
 	own, ownAt        time.Duration
@@ -120,6 +120,10 @@
 			c.aim = k.Aim
 		}
 	}
+	if c.aim == 0 {
+		c.aim = time.Second // the settings tell of no haste
+	}
+	c.fade = time.Duration(fadePart * float64(c.aim))
 	c.spare, c.sz, c.eps = slices.Index(s.ReportFields, "spare"), slices.Index(s.ReportFields, "total"),
 		slices.Index(s.ReportFields, "cut_by")
 	return c, nil
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"strings"
@@ -288,16 +289,38 @@
 }
 
 // Guards against a herd of calls toward an office that is down while the list still names it.
+// Its trials come as fast as the traffic is: a second is nothing to a class of one aim and an outage to another.
 func TestNoConnectionLeavesSingleTrials(t *testing.T) {
-	b := quietBed(t, nil)
-	b.call(0, 1, "a")
-	b.fails(1, NoConnect, 0)
-	if got := b.call(0, 1, "b"); got != "refuse " {
-		t.Errorf("at once after a failed connection: %q", got)
+	for _, aim := range []time.Duration{0, time.Second, 200 * time.Millisecond} {
+		b := quietBed(t, func(s *Settings) { s.Classes[0].Aim, s.Classes[1].Aim = aim, aim })
+		aim = cmp.Or(aim, time.Second) // none set
+		gap := time.Duration(firstTrial * float64(aim))
+		b.call(0, 1, "a")
+		b.fails(1, NoConnect, 0)
+		b.h.now += gap - 10*time.Millisecond
+		if got := b.call(0, 1, "b"); got != "refuse " {
+			t.Errorf("aim %v: soon after a failed connection: %q", aim, got)
+		}
+		b.h.now += 20 * time.Millisecond
+		if got := b.call(0, 1, "c"); got != "send 1" {
+			t.Errorf("aim %v: trial after %v: %q", aim, gap, got)
+		}
 	}
-	b.h.now += 1100 * time.Millisecond
-	if got := b.call(0, 1, "c"); got != "send 1" {
-		t.Errorf("trial after a second: %q", got)
+}
+
+// A delay learnt from a queue is forgotten as fast as callers are impatient.
+func TestDelaysFadeWithTheAims(t *testing.T) {
+	for _, aim := range []time.Duration{0, time.Second, 200 * time.Millisecond} {
+		b := quietBed(t, func(s *Settings) { s.Classes[0].Aim, s.Classes[1].Aim = aim, aim })
+		e, full := b.c.exchange(1, false), time.Second
+		e.delay, e.delayAt = full, b.c.now
+		if d := b.c.delayOf(e); d != full {
+			t.Errorf("aim %v: %v at once", aim, d)
+		}
+		b.c.now += time.Duration(fadePart * float64(cmp.Or(aim, time.Second)))
+		if d := b.c.delayOf(e); d != full/2 {
+			t.Errorf("aim %v: %v after a half-life", aim, d)
+		}
 	}
 }
 
