Connections that make room are read until their office closes them

Ruled out: the caller's CANCEL crossing our answer, another node, an answer that was lost.

Lines at fault: renew and retire in callserver/offices.go, Close of a connection that lives.

Change: an effect Shut: the node shuts its side and goes on reading; the core keeps the connection for what crosses, gives it nothing, and closes it after 1 s. At most an eighth of the offices' descriptors are of such connections, beyond that they are closed at once. Test without the bench: TestAReleaseThatCrossesTheEndOfItsConnection.

--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -50,6 +50,7 @@
 	lastConn ConnID
 	callers  map[ConnID]*caller
 	assocs   map[ConnID]*assoc
+	shuts    int              // of assocs, are shut
 	calls    map[uint64]*call // by the Controller's number
 	byID     map[uint64]*call // by the id on the wire: open and standing
 	open     int              // calls without a final answer
@@ -86,6 +87,7 @@
 	timerCaller                   // a caller's connection has had time to say something whole
 	timerAssoc                    // a message of an office has had time to end
 	timerRedial
+	timerShut  // a connection that was shut has had time to end
 	timerLook  // at connections to an office that may be dead
 	timerGrace // what has not gone out to a draining office by now must not go out any more
 	timerProbe
@@ -207,6 +209,8 @@
 		s.checkCaller(ConnID(t.id))
 	case timerAssoc:
 		s.checkAssoc(ConnID(t.id), t.n)
+	case timerShut:
+		s.endShut(ConnID(t.id))
 	case timerRedial:
 		s.redial(t.at)
 	case timerLook:
--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 	now    time.Duration
 	wrote  map[ConnID][]byte
 	closed map[ConnID]Close
+	shut   []ConnID
 	dials  []Dial
 	asked  []AskJournal
 	sends  []Decision
@@ -86,9 +88,14 @@
 			if _, gone := b.closed[e.Conn]; gone {
 				b.t.Errorf("write on connection %d, which was closed", e.Conn)
 			}
+			if slices.Contains(b.shut, e.Conn) {
+				b.t.Errorf("write on connection %d, which was shut", e.Conn)
+			}
 			b.wrote[e.Conn] = append(b.wrote[e.Conn], e.Bytes...)
 		case Close:
 			b.closed[e.Conn] = e
+		case Shut:
+			b.shut = append(b.shut, e.Conn)
 		case Dial:
 			b.dials = append(b.dials, e)
 		case AskJournal:
@@ -427,6 +434,68 @@
 	}
 }
 
+// The danger: an idle connection makes room just as its office writes the release of a call on it, which it says nowhere
+// else. What crosses our end is read; an office that never closes is not waited for; and those that wait are few.
+func TestAReleaseThatCrossesTheEndOfItsConnection(t *testing.T) {
+	b := newBench(t, func(c *Config) { c.Offices = 40 })
+	b.up("10.0.0.1:5080")
+	c := b.caller()
+	b.say(c, invite(7, "dest:1;width:1"))
+	on, _ := b.setUp(7)
+	b.up("10.0.0.1:5080")
+	b.office(on, answer(7))
+	b.say(c, invite(8, "dest:1;width:1")) // takes the oldest idle connection
+	other, _ := b.setUp(8)
+	if other != on {
+		t.Fatalf("the second call went out on %d, not on %d", other, on)
+	}
+	b.office(on, answer(8))
+	same(t, "the calls", b.heard(c), "200", "200")
+	x := b.s.offices["s-1"]
+	shutOne := func() {
+		t.Helper()
+		had := len(b.shut)
+		for range 50 {
+			b.s.ended(x)
+			b.take()
+			if len(b.shut) > had {
+				return
+			}
+			b.up("10.0.0.1:5080")
+			b.pass(10 * time.Millisecond)
+		}
+		t.Fatal("no idle connection makes room")
+	}
+	shutOne()
+	if b.shut[0] != on {
+		t.Fatalf("connection %d makes room, not the oldest", b.shut[0])
+	}
+	b.office(on, ends(7, office.CauseNormal, ""))
+	same(t, "the release that crossed", b.heard(c), "BYE")
+	b.say(c, request("BYE", 8)) // its release cannot go out where the set-up did
+	b.apply(Input{Kind: InClosed, Conn: on})
+	if b.s.assocs[on] != nil || b.s.shuts != 0 {
+		t.Errorf("%d connections are shut after their office has closed them", b.s.shuts)
+	}
+	b.say(c, invite(9, "dest:1;width:1"))
+	third, _ := b.setUp(9)
+	b.office(third, answer(9)) // there is a release to be fetched
+	most := b.s.cfg.Offices / shutPart
+	for range 4 * most {
+		b.up("10.0.0.1:5080")
+		b.s.ended(x)
+		b.take()
+	}
+	if b.s.shuts != most {
+		t.Errorf("%d connections are shut, of at most %d", b.s.shuts, most)
+	}
+	last := b.shut[len(b.shut)-1]
+	b.pass(shutWithin + lookEvery)
+	if _, ok := b.closed[last]; !ok || b.s.assocs[last] != nil {
+		t.Error("a connection whose office does not close it is kept")
+	}
+}
+
 // The danger: an office whose end of the set-up's connection has died, unseen here, releases on any other open one.
 func TestReleaseOnAnotherConnectionOfTheOffice(t *testing.T) {
 	b := newBench(t, nil)
@@ -676,7 +745,7 @@
 	if got := b.sent(a); len(got) != 1 || got[0].Type != office.Release {
 		t.Fatalf("the silent office hears %v", got)
 	}
-	if _, ok := b.closed[a]; !ok {
+	if !slices.Contains(b.shut, a) {
 		t.Fatal("a connection that owes an answer stays in use")
 	}
 	b.up("10.0.0.1:5080")
--- a/callserver/effects.go
+++ b/callserver/effects.go
@@ -26,6 +26,10 @@
 	Linger bool // bytes may be coming still, and a reset must not eat the response
 }
 
+// Shut asks for a connection to be shut from our side. What its peer wrote before it heard of that still comes, and then
+// InClosed.
+type Shut struct{ Conn ConnID }
+
 // Dial asks for a connection to an office; InConnected or InFailed tells what became of it.
 type Dial struct {
 	Conn   ConnID
@@ -58,6 +62,7 @@
 func (Write) effect()      {}
 func (Decision) effect()   {}
 func (Close) effect()      {}
+func (Shut) effect()       {}
 func (Dial) effect()       {}
 func (AskJournal) effect() {}
 func (Confirm) effect()    {}
--- a/callserver/members.go
+++ b/callserver/members.go
@@ -168,8 +168,7 @@
 	for _, a := range slices.Clone(x.assocs) {
 		if len(a.open) == 0 {
 			s.emit(Close{Conn: a.id})
-			delete(s.assocs, a.id)
-			x.assocs = slices.DeleteFunc(x.assocs, func(o *assoc) bool { return o == a })
+			s.drop(a)
 		}
 	}
 	if len(x.assocs) == 0 && len(x.waiting) == 0 && x.standing == 0 {
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -57,6 +57,7 @@
 	in       office.Framer
 	up       bool
 	stuck    bool // bytes wait that TCP does not take
+	shut     bool // from our side: only what was on its way still comes
 	doubtful bool // an answer is missing on it: it gets nothing new, and is closed when nothing is open on it
 	open     []*call
 	born     time.Duration
@@ -74,6 +75,8 @@
 	lookEvery   = 400 * time.Millisecond // at connections that may be dead: a release must be passed on within 1 s,
 	slowAnswer  = 250 * time.Millisecond // and one that owes an answer for so long may be
 	spareConns  = 2                      // more that are idle make room for a fresh one
+	shutWithin  = time.Second            // an office that is there closes at once
+	shutPart    = 8                      // one in so many of the offices' descriptors may be of connections that are shut
 )
 
 // share is how many connections an office may have.
@@ -91,7 +94,7 @@
 func (x *exchange) best(not ...ConnID) *assoc {
 	var best *assoc
 	for _, a := range x.assocs {
-		if a.up && !a.stuck && !a.doubtful && !slices.Contains(not, a.id) && (best == nil || len(a.open) < len(best.open)) {
+		if a.up && !a.stuck && !a.doubtful && !a.shut && !slices.Contains(not, a.id) && (best == nil || len(a.open) < len(best.open)) {
 			best = a
 		}
 	}
@@ -117,8 +120,12 @@
 	if x.state == logic.Gone || x.cell == s.cfg.Settings.Home && !s.cfg.Settings.Pools {
 		return
 	}
-	idle, dialling := 0, 0
+	idle, dialling, kept := 0, 0, 0
 	for _, a := range x.assocs {
+		if a.shut {
+			continue
+		}
+		kept++
 		switch {
 		case !a.up:
 			dialling++
@@ -126,7 +133,7 @@
 			idle++
 		}
 	}
-	if dialling > 0 || idle > 0 && len(x.waiting) == 0 || len(x.assocs) >= s.share()+len(x.waiting) || s.now < x.redialAt {
+	if dialling > 0 || idle > 0 && len(x.waiting) == 0 || kept >= s.share()+len(x.waiting) || s.now < x.redialAt {
 		return
 	}
 	s.dial(x)
@@ -184,7 +191,12 @@
 		return
 	}
 	var idle []*assoc
+	kept := 0
 	for _, a := range x.assocs {
+		if a.shut {
+			continue
+		}
+		kept++
 		switch {
 		case !a.up:
 			return // one is on its way
@@ -193,14 +205,35 @@
 		}
 	}
 	if len(idle) >= spareConns {
-		s.emit(Close{Conn: idle[0].id}) // the oldest
-		s.remove(idle[0])
-	} else if len(x.assocs) >= s.share() {
+		s.shut(idle[0]) // the oldest
+	} else if kept >= s.share() {
 		return
 	}
 	s.dial(x)
 }
 
+// shut ends a connection on which nothing is open. A release may be on its way on it this very moment, which its office
+// says nowhere else: so it is read on until the office closes it, too.
+func (s *Server) shut(a *assoc) {
+	if a.stuck || !a.up || s.shuts >= s.cfg.Offices/shutPart {
+		s.emit(Close{Conn: a.id})
+		s.remove(a)
+		return
+	}
+	a.shut = true
+	s.shuts++
+	s.emit(Shut{Conn: a.id})
+	s.arm(shutWithin, timer{kind: timerShut, id: uint64(a.id)})
+}
+
+// endShut closes a connection whose office has not closed it.
+func (s *Server) endShut(id ConnID) {
+	if a := s.assocs[id]; a != nil {
+		s.emit(Close{Conn: id})
+		s.remove(a)
+	}
+}
+
 // redial tries again to reach an office.
 func (s *Server) redial(id string) {
 	if x := s.offices[id]; x != nil && s.now >= x.redialAt {
@@ -279,20 +312,30 @@
 }
 
 func (x *exchange) anyUp() bool {
-	return slices.ContainsFunc(x.assocs, func(a *assoc) bool { return a.up })
+	return slices.ContainsFunc(x.assocs, func(a *assoc) bool { return a.up && !a.shut })
 }
 
-// remove forgets a connection.
+// remove forgets a connection, and its office if that is gone.
 func (s *Server) remove(a *assoc) {
+	s.drop(a)
+	s.tidy(a.to)
+}
+
+func (s *Server) drop(a *assoc) {
 	delete(s.assocs, a.id)
+	if a.shut {
+		s.shuts--
+	}
 	a.to.assocs = slices.DeleteFunc(a.to.assocs, func(o *assoc) bool { return o == a })
-	s.tidy(a.to)
 }
 
 // assocGone ends what was open on a connection that has ended. Calls that stand belong to no connection.
 func (s *Server) assocGone(a *assoc) {
 	x := a.to
 	s.remove(a)
+	if a.shut {
+		return
+	}
 	for _, r := range a.releases.lost(s.now) {
 		s.releaseAt(x, nil, r.wire, r.cause)
 	}
@@ -330,9 +373,8 @@
 
 // retire closes a connection that gets nothing new, once nothing is open on it.
 func (s *Server) retire(a *assoc) {
-	if a.doubtful && len(a.open) == 0 && s.assocs[a.id] == a {
-		s.emit(Close{Conn: a.id})
-		s.remove(a)
+	if a.doubtful && !a.shut && len(a.open) == 0 && s.assocs[a.id] == a {
+		s.shut(a)
 		s.ended(a.to)
 	}
 }
@@ -469,7 +511,7 @@
 func (s *Server) releaseOffice(k *call, cause byte) { s.releaseAt(k.at, k.on, k.wire, cause) }
 
 func (s *Server) releaseAt(x *exchange, a *assoc, wire uint64, cause byte) {
-	if a == nil || s.assocs[a.id] != a || a.stuck {
+	if a == nil || s.assocs[a.id] != a || a.stuck || a.shut {
 		a = x.best()
 	}
 	if a == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -326,6 +326,12 @@
 		}
 	case callserver.Close:
 		n.close(e)
+	case callserver.Shut:
+		if l := n.links[e.Conn]; l != nil {
+			if t, ok := l.Conn().(*net.TCPConn); ok {
+				_ = t.CloseWrite() // an error shows at the next read
+			}
+		}
 	case callserver.Dial:
 		n.dial(e)
 	case callserver.Confirm:
