Loopback test of a release that crosses the end of its connection; one count of connections

Seen in review: spare and renew in callserver/offices.go counted an office's connections each for itself, and nothing checked on sockets that the node reads on after Shut.

Change: one count; a stand-in office that writes its releases on a connection whose other end is being shut, and nowhere else. With a close in place of the shut side the new test fails (no release of call 1 within 8 s).

--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -115,25 +115,37 @@
 	s.spare(x)
 }
 
-// spare sees to it that an office has a connection for the next attempt.
-func (s *Server) spare(x *exchange) {
-	if x.state == logic.Gone || x.cell == s.cfg.Settings.Home && !s.cfg.Settings.Pools {
-		return
-	}
-	idle, dialling, kept := 0, 0, 0
+// connections counts those to an office that can still carry something new.
+type connections struct {
+	kept, dialling, idle int
+	oldest               *assoc // idle one
+}
+
+func (x *exchange) connections() (n connections) {
 	for _, a := range x.assocs {
 		if a.shut {
 			continue
 		}
-		kept++
+		n.kept++
 		switch {
 		case !a.up:
-			dialling++
+			n.dialling++
 		case len(a.open) == 0 && !a.doubtful && !a.stuck:
-			idle++
+			if n.idle++; n.oldest == nil {
+				n.oldest = a
+			}
 		}
 	}
-	if dialling > 0 || idle > 0 && len(x.waiting) == 0 || kept >= s.share()+len(x.waiting) || s.now < x.redialAt {
+	return n
+}
+
+// spare sees to it that an office has a connection for the next attempt.
+func (s *Server) spare(x *exchange) {
+	if x.state == logic.Gone || x.cell == s.cfg.Settings.Home && !s.cfg.Settings.Pools {
+		return
+	}
+	n := x.connections()
+	if n.dialling > 0 || n.idle > 0 && len(x.waiting) == 0 || n.kept >= s.share()+len(x.waiting) || s.now < x.redialAt {
 		return
 	}
 	s.dial(x)
@@ -190,23 +202,13 @@
 	if x.standing == 0 || x.state == logic.Gone || s.now < x.redialAt {
 		return
 	}
-	var idle []*assoc
-	kept := 0
-	for _, a := range x.assocs {
-		if a.shut {
-			continue
-		}
-		kept++
-		switch {
-		case !a.up:
-			return // one is on its way
-		case len(a.open) == 0 && !a.stuck:
-			idle = append(idle, a)
-		}
+	n := x.connections()
+	if n.dialling > 0 {
+		return
 	}
-	if len(idle) >= spareConns {
-		s.shut(idle[0]) // the oldest
-	} else if kept >= s.share() {
+	if n.idle >= spareConns {
+		s.shut(n.oldest)
+	} else if n.kept >= s.share() {
 		return
 	}
 	s.dial(x)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -156,15 +156,16 @@
 
 // Office is a stand-in office.
 type Office struct {
-	Member feed.Member
-	Hold   time.Duration
-	Deed   func(call uint64, attempt int) Deed
-	world  *World
-	mu     sync.Mutex
-	tries  map[uint64]int
-	stood  map[uint64]bool
-	conns  []*officeConn // that are open, the newest last
-	owed   []uint64      // releases for the next connection
+	Member  feed.Member
+	Hold    time.Duration
+	Deed    func(call uint64, attempt int) Deed
+	Crosses bool // what stands is released on a connection whose other end is being shut, and nowhere else
+	world   *World
+	mu      sync.Mutex
+	tries   map[uint64]int
+	stood   map[uint64]bool
+	conns   []*officeConn // that are open, the newest last
+	owed    []uint64      // releases for the next connection
 }
 
 // NewOffice starts an office that deals with set-ups as deed says.
@@ -220,6 +221,16 @@
 	c.send(&office.Message{Type: office.Release, Call: call, Cause: office.CauseNormal, HasCause: true})
 }
 
+// releaseAll ends what stands.
+func (c *officeConn) releaseAll() {
+	c.o.mu.Lock()
+	defer c.o.mu.Unlock()
+	for call := range c.o.stood {
+		c.sendRelease(call)
+	}
+	clear(c.o.stood)
+}
+
 // officeConn is one connection to an office.
 type officeConn struct {
 	net.Conn
@@ -257,6 +268,9 @@
 				return
 			}
 		}
+		if err == io.EOF && o.Crosses {
+			c.releaseAll()
+		}
 		if err != nil {
 			c.mu.Lock()
 			defer c.mu.Unlock()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -313,6 +313,24 @@
 	s.judge()
 }
 
+// The danger: a release that crosses the end of an idle connection, which is closed to make room for a fresh one.
+func TestReleaseThatCrossesTheEndOfAnIdleConnection(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, func(call uint64, _ int) platform.Deed {
+		if call == 1 {
+			return platform.Stand
+		}
+		return platform.Mute // while an answer is missing, idle connections make room
+	}, func(s *stage) { s.offices[1].Hold, s.offices[1].Crosses = 0, true })
+	c := s.dial()
+	s.invite(c, 1, 1, 3*time.Second)
+	s.await(c, "the answer of call 1", func(h platform.Heard) bool { return h.Call == 1 && h.Status == 200 })
+	s.invite(c, 2, 1, 3*time.Second)
+	s.await(c, "the release of call 1", func(h platform.Heard) bool { return h.Method == "BYE" && h.Call == 1 && h.Status == 0 })
+	s.await(c, "the end of call 2", func(h platform.Heard) bool { return h.Call == 2 && h.Status >= 300 })
+	s.judge()
+}
+
 // What stood before this process began is taken up without an answer, and released at both ends.
 func TestCallsThatStandAlready(t *testing.T) {
 	t.Parallel()
