The rule checker awaits no RLC for a REL that refuses an IAM on a blocked circuit

The trace of the shrunk scenario: an IAM came on circuit 18 while it was blocked for a hardware fault, was refused with cause 38, and the RLC was lost with its link. trunk's refuse() seizes nothing and awaits nothing; the checker held the circuit as releasing for good, so it took a later dual seizure for none and the lost attempt for one still out.

Lines at fault: release in internal/rulecheck/messages.go. Change: such a refusal awaits no RLC. A tape in TestPlantedBreaches fails without it (rule 2). Cause 38 goes out elsewhere only in ReleaseAll, the last step of a drain.

--- a/internal/rulecheck/messages.go
+++ b/internal/rulecheck/messages.go
@@ -305,8 +305,10 @@
 
 func (c *checker) release(s *server, l *link, r Record, m *isup.Message) {
 	if in := l.in[m.CIC]; in != nil {
+		// On a blocked circuit an IAM seizes nothing: its refusal awaits no RLC, which may be lost.
+		seized := in.heard || m.Release().Cause != isup.CauseNetworkOutOfOrder
 		c.releaseIn(s, l, r, in)
-		if r.Out {
+		if r.Out && seized {
 			l.releasing[in.cics[0]] = in.cics
 		}
 		return
--- a/internal/rulecheck/rulecheck_test.go
+++ b/internal/rulecheck/rulecheck_test.go
@@ -101,6 +101,18 @@
 		play func(p *tape)
 	}{
 		{"a good call", 0, good},
+		{"a dual seizure behind a refusal on a blocked circuit whose RLC was lost", 0, func(p *tape) {
+			p.iam(0, "a", "b", false, 5, 9, 1)
+			p.rel(1, "a", "b", true, 5, isup.CauseNetworkOutOfOrder)
+			p.iam(100, "a", "counters", false, 1, 1, 1)
+			p.iam(101, "a", "b", true, 6, 1, 1)
+			p.iam(110, "a", "b", false, 5, 8, 2) // the wider one wins
+			p.iam(111, "a", "b", true, 7, 1, 1)
+			p.rel(150, "a", "b", true, 5, isup.CauseNoCircuit)
+			p.rel(160, "a", "b", false, 7, isup.CauseNoCircuit)
+			p.simple(160, "a", "b", true, isup.RLC, 7)
+			p.rel(161, "a", "counters", true, 1, isup.CauseNoCircuit)
+		}},
 		{"no answer at all", 1, func(p *tape) { p.iam(0, "a", "counters", false, 1, 1, 1) }},
 		{"an answer too late", 1, func(p *tape) {
 			p.iam(0, "a", "counters", false, 1, 1, 1)
