One close and one withdrawal in the call server's core in place of two each

Seen on reading the change again: shut and endShut in callserver/offices.go closed and forgot a connection each for itself; missed in callserver/calls.go repeated what hangUp does; two timers in callserver/callers.go were armed beside arm.

Change: end, withdraw and arm serve both places. Behaviour and tests are as they were.

--- a/callserver/callers.go
+++ b/callserver/callers.go
@@ -71,7 +71,7 @@
 func (s *Server) accepted(id ConnID, from string) {
 	c := &caller{id: id, from: from, born: s.now}
 	s.callers[id] = c
-	s.timers.Arm(s.now+sayWithin, timer{kind: timerCaller, id: uint64(id)})
+	s.arm(sayWithin, timer{kind: timerCaller, id: uint64(id)})
 	if len(s.callers) > s.cfg.Callers {
 		idle := s.idlest(c)
 		if idle == nil {
@@ -155,7 +155,7 @@
 	}
 	if s.callers[c.id] == c && c.in.Waiting() > 0 && c.asked == 0 {
 		c.asked = s.now
-		s.timers.Arm(s.now+sayWithin, timer{kind: timerCaller, id: uint64(c.id)})
+		s.arm(sayWithin, timer{kind: timerCaller, id: uint64(c.id)})
 	}
 }
 
--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -79,6 +79,11 @@
 // hangUp takes the news that the caller has gone before an answer.
 func (s *Server) hangUp(k *call) {
 	s.totals.HungUp++
+	s.withdraw(k)
+}
+
+// withdraw ends a call without its answer from an office; an attempt that is out is called off.
+func (s *Server) withdraw(k *call) {
 	s.answered(k)
 	s.ctl.HungUp(s.now, k.id)
 	s.forget(k)
@@ -172,9 +177,7 @@
 	s.log(slog.LevelInfo, "call is over whose answer was lost", slog.String("call", k.callID), slog.String("office", k.at.id))
 	s.totals.Failed++
 	s.respond(k.from, k.head, 500, 0, nil)
-	s.answered(k)
-	s.ctl.HungUp(s.now, k.id)
-	s.forget(k)
+	s.withdraw(k)
 }
 
 // endStanding releases a call that stood toward its caller.
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -218,8 +218,7 @@
 // says nowhere else: so it is read on until the office closes it, too.
 func (s *Server) shut(a *assoc) {
 	if a.stuck || !a.up || s.shuts >= s.cfg.Offices/shutPart {
-		s.emit(Close{Conn: a.id})
-		s.remove(a)
+		s.end(a)
 		return
 	}
 	a.shut = true
@@ -231,11 +230,16 @@
 // endShut closes a connection whose office has not closed it.
 func (s *Server) endShut(id ConnID) {
 	if a := s.assocs[id]; a != nil {
-		s.emit(Close{Conn: id})
-		s.remove(a)
+		s.end(a)
 	}
 }
 
+// end closes a connection.
+func (s *Server) end(a *assoc) {
+	s.emit(Close{Conn: a.id})
+	s.remove(a)
+}
+
 // redial tries again to reach an office.
 func (s *Server) redial(id string) {
 	if x := s.offices[id]; x != nil && s.now >= x.redialAt {
