A cut told on the connection of an earlier attempt reaches its caller; ids in debug lines

Lines at fault: callserver/offices.go, released(): every release but cause 16 on a connection of an earlier attempt was taken for that attempt's own, also long after that attempt's end had been told.

Change: after the answer only causes 16 and 41 exist (PROTOCOL), so another cause there is still the earlier attempt's; 41 is the standing call's, unless that attempt was given up by us and the call has stood for under 1 s, when the two can cross.

Test: TestACutOnTheConnectionOfAnEarlierAttempt, eight orders; three fail without the change (run so).

--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -34,6 +34,8 @@
 	at          *exchange     // of the attempt, or where it stands
 	on          *assoc        // of the attempt, once it has one
 	past        []ConnID      // of earlier attempts
+	untold      []ConnID      // of them, those on which the office has not said how the attempt ended
+	stood       time.Duration // when the answer came
 	sent        time.Duration // when the Controller asked for the attempt
 	deadline    time.Duration
 	trying      bool // an attempt is out or waits for its connection
@@ -118,7 +120,7 @@
 func (s *Server) stands(k *call, m *office.Message) {
 	s.totals.Stood++
 	s.settle(k)
-	k.state, k.trying = standing, true
+	k.state, k.trying, k.stood = standing, true, s.now
 	k.from.open--
 	s.open--
 	k.from.used, k.from.proven = s.now, true
@@ -141,7 +143,9 @@
 func (s *Server) over(k *call, o logic.Outcome) {
 	s.settle(k)
 	if k.on != nil && k.written {
-		k.past = append(k.past, k.on.id)
+		if k.past = append(k.past, k.on.id); o.Status == logic.TimedOut || o.Status == logic.Cancelled {
+			k.untold = append(k.untold, k.on.id)
+		}
 	}
 	at, a, sent := k.at, k.on, k.sent
 	silent := k.written && a.heard <= k.sent && (o.Status == logic.TimedOut || o.Status == logic.Cancelled)
--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -12,6 +12,7 @@
 	"finchlatch/feed"
 	"finchlatch/internal/timing"
 	"finchlatch/logic"
+	"finchlatch/office"
 )
 
 // Config is what a Server is made from.
@@ -195,6 +196,21 @@
 	}
 }
 
+// trace tells of one step of a call or a connection. With debug lines on, the id of a call can be followed from its caller
+// to its offices and back.
+func (s *Server) trace(text, peer string, conn ConnID, callID string, what int) {
+	if s.cfg.LogLevel <= slog.LevelDebug {
+		s.emit(Log{Level: slog.LevelDebug, Text: text, Attrs: []slog.Attr{slog.String("peer", peer), slog.Uint64("conn", uint64(conn)),
+			slog.String("call", callID), slog.Int("what", what)}})
+	}
+}
+
+func (s *Server) traceOffice(text string, a *assoc, m *office.Message) {
+	if s.cfg.LogLevel <= slog.LevelDebug {
+		s.trace(text, a.to.id, a.id, fmt.Sprintf("%016x", m.Call), int(m.Type))
+	}
+}
+
 func (s *Server) arm(wait time.Duration, t timer) { s.timers.Arm(s.now+wait, t) }
 
 func (s *Server) fire(t timer) {
--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -640,6 +640,58 @@
 	same(t, "a late release", b.heard(c))
 }
 
+// The danger: an office says on whatever connection is open that a call is cut, and on that of an earlier attempt it was
+// taken for that one's end, so that the caller of a call that is over was never told.
+func TestACutOnTheConnectionOfAnEarlierAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		told  bool // the office has ended the first attempt
+		after time.Duration
+		cause byte
+		want  []string
+	}{
+		"told, at once":                {told: true, cause: office.CauseTemporary, want: []string{"BYE"}},
+		"told, later":                  {told: true, after: 5 * time.Second, cause: office.CauseTemporary, want: []string{"BYE"}},
+		"told, no cause that cuts":     {told: true, after: 5 * time.Second, cause: office.CauseBusy},
+		"told, ended":                  {told: true, cause: office.CauseNormal, want: []string{"BYE"}},
+		"given up, crossing":           {after: 900 * time.Millisecond, cause: office.CauseTemporary},
+		"given up, later":              {after: 1100 * time.Millisecond, cause: office.CauseTemporary, want: []string{"BYE"}},
+		"given up, ended":              {cause: office.CauseNormal, want: []string{"BYE"}},
+		"given up, no cause that cuts": {after: 1100 * time.Millisecond, cause: office.CauseResource},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.up("10.0.0.1:5080")
+			caller := b.caller()
+			b.say(caller, invite(7, "dest:1;width:1"))
+			first, _ := b.setUp(7)
+			if c.told {
+				b.office(first, ends(7, office.CauseTemporary, ""))
+			} else {
+				b.say(caller, invite(8, "dest:1;width:1")) // keeps the connection
+				if other, _ := b.setUp(8); other != first {
+					t.Fatal("the second call went out on another connection")
+				}
+				b.pass(700 * time.Millisecond)
+				b.up("10.0.0.1:5080")
+				b.s.giveUp(b.s.byID[7], logic.TimedOut)
+				b.take()
+			}
+			b.up("10.0.0.1:5080")
+			b.pass(250 * time.Millisecond)
+			b.up("10.0.0.1:5080")
+			second, _ := b.setUp(7)
+			if second == first {
+				t.Fatal("the second attempt went out on the connection of the first")
+			}
+			b.office(second, answer(7))
+			same(t, "the answer", b.heard(caller), "200")
+			b.pass(c.after)
+			b.office(first, ends(7, c.cause, ""))
+			same(t, "the caller hears", b.heard(caller), c.want...)
+		})
+	}
+}
+
 func TestSpoiltAnswersEndWhatIsOpenOnTheirConnection(t *testing.T) {
 	long := answer(7)
 	for name, raw := range map[string][]byte{
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -155,6 +155,7 @@
 	s.lastConn++
 	a := &assoc{id: s.lastConn, to: x, born: s.now}
 	x.assocs, s.assocs[a.id] = append(x.assocs, a), a
+	s.trace("dial", x.id, a.id, "", 0)
 	s.emit(Dial{Conn: a.id, Addr: x.addr, Within: s.cfg.ConnectTimeout})
 }
 
@@ -223,6 +224,7 @@
 	}
 	a.shut = true
 	s.shuts++
+	s.trace("shut", a.to.id, a.id, "", len(a.open))
 	s.emit(Shut{Conn: a.id})
 	s.arm(shutWithin, timer{kind: timerShut, id: uint64(a.id)})
 }
@@ -263,6 +265,7 @@
 		s.log(slog.LevelError, "message that cannot be written", slog.String("err", err.Error()))
 		return
 	}
+	s.traceOffice("to office", a, m)
 	s.emit(Write{Conn: a.id, Bytes: b})
 }
 
@@ -274,6 +277,7 @@
 		return
 	}
 	a.up, a.born = true, s.now
+	s.trace("connected", a.to.id, id, "", 0)
 	x := a.to
 	x.failures = 0
 	owed := x.owed
@@ -328,6 +332,7 @@
 }
 
 func (s *Server) drop(a *assoc) {
+	s.trace("connection forgotten", a.to.id, a.id, "", len(a.open))
 	delete(s.assocs, a.id)
 	if a.shut {
 		s.shuts--
@@ -425,6 +430,7 @@
 
 // officeMessage takes one message of an office.
 func (s *Server) officeMessage(a *assoc, m *office.Message) {
+	s.traceOffice("from office", a, m)
 	switch m.Type {
 	case office.Answer:
 		if k := a.find(m.Call); k != nil {
@@ -495,8 +501,8 @@
 		}
 		return
 	}
-	if slices.Contains(k.past, a.id) && m.Cause != office.CauseNormal && k.on != nil && s.assocs[k.on.id] == k.on {
-		return // of an earlier attempt: only a call that stood ends with the normal cause
+	if s.ofEarlier(k, a, m.Cause) {
+		return
 	}
 	status := logic.Reset
 	if m.HasCause && m.Cause == office.CauseNormal {
@@ -505,6 +511,16 @@
 	s.endStanding(k, status, max(1, m.Cause), load)
 }
 
+// ofEarlier tells whether a release on a connection of an earlier attempt is of that one, while the call stands by a later
+// attempt. What stands ends with the normal cause or is cut (41). A cut may also be the word on an attempt that was given
+// up, which crosses our release; on an attempt whose end was told there is nothing left to say.
+func (s *Server) ofEarlier(k *call, a *assoc, cause byte) bool {
+	if !slices.Contains(k.past, a.id) || cause == office.CauseNormal || k.on == nil || s.assocs[k.on.id] != k.on {
+		return false
+	}
+	return cause != office.CauseTemporary || slices.Contains(k.untold, a.id) && s.now-k.stood < hearWithin
+}
+
 // statuses are the endings that the causes of a release before the answer stand for; any other is a reset.
 var statuses = map[byte]logic.Status{office.CauseNoCircuit: logic.Full, office.CauseBusy: logic.Faulted,
 	office.CauseResource: logic.Faulted, office.CauseTimer: logic.NotSent, office.CauseTemporary: logic.Reset}
--- a/sip/write.go
+++ b/sip/write.go
@@ -15,7 +15,10 @@
 var echoed = []string{"Via", "From", "To", "Call-ID", "CSeq"}
 
 // Head keeps of a request what its responses repeat.
-type Head struct{ lines []byte }
+type Head struct {
+	CallID string
+	lines  []byte
+}
 
 // HeadOf keeps what responses to m repeat.
 func HeadOf(m *Message) Head {
@@ -23,6 +26,7 @@
 	if m == nil {
 		return h
 	}
+	h.CallID = m.CallID
 	for _, name := range echoed {
 		for _, f := range m.Fields {
 			if strings.EqualFold(f.Name, name) {
