A call server's part of a cold exchange follows its own group, and parts of a call are drawn

Checked and ruled out: all 30 had been told of the start (8.86 to 9.00 s); no attempt was a second one of its call. Lines at fault: logic/guards.go, warm(): a bucket of at least one token, whatever the share; share(): own circuits over Instances; chill(): up to one token by chance.

Change: the part is what the own group toward the exchange turns over, so that parts add up whatever the sizes (sum over call servers of the groups toward an exchange is its size). Below one call at once, a call is drawn for once in the span that it stands for and is not saved. Budgets begin at a random part of TipAfter.

Tests: TestColdBudgetOfAFleet (30, 48, 90 call servers, every window, after silences, seven in ten started anew; a planted rule that saves up a call each is found). TestColdBudgetOfManyCallServers now names the group's size, which share() counts by: the same bounds.

--- a/logic/guards.go
+++ b/logic/guards.go
@@ -8,9 +8,10 @@
 	"time"
 )
 
-// chill starts a cold budget, at a moment of its own: equal buckets hold back for long and then ripen as one.
+// chill starts a cold budget, at a moment of its own: equal ones hold back for long and then ripen as one.
 func (c *Controller) chill(e *exchange, since time.Duration) {
-	e.cold, e.coldAt, e.tokens, e.tokensAt = true, since, c.share(e)*coldBurst+c.rng.Float64(), c.now
+	e.cold, e.coldAt, e.tokens = true, since, 0
+	e.tokensAt = c.now - time.Duration(c.rng.Float64()*float64(c.set.TipAfter))
 	c.host.Log(fmt.Sprintf("cold exchange=%d", e.number))
 }
 
@@ -27,31 +28,41 @@
 
 // warm keeps the cold budget (rule 4). A just-started processor falls over when all call servers together
 // send it too much; this one keeps to its share of the multiple of the coldest capacity, over any window.
+// The danger: many call servers with less than a call each, which hold a whole one when all are wanted. So a
+// part of a call is drawn for, once in the span of a whole one, and is not saved.
 func (c *Controller) warm(e *exchange) bool {
 	if e.cold = e.cold && c.now-e.coldAt < c.set.ColdFor; !e.cold {
 		return true
 	}
-	share, tip := c.share(e), c.set.TipAfter.Seconds()
-	rate := coldUse * share / math.Max(tip, 0.001)
-	e.tokens = math.Min(math.Max(1, share*coldBurst), e.tokens+(c.now-e.tokensAt).Seconds()*rate)
-	e.tokensAt = c.now
+	share, tip := c.share(e), math.Max(c.set.TipAfter.Seconds(), 0.001)
+	passed := (c.now - e.tokensAt).Seconds()
+	if share*coldBurst >= 1 {
+		e.tokens = math.Min(share*coldBurst, e.tokens+passed*coldUse*share/tip)
+		e.tokensAt = c.now
+	} else if due := (coldUse + coldBurst) * share; passed >= tip/math.Ceil(due) {
+		e.tokens, e.tokensAt = 0, c.now
+		if c.rng.Float64()*math.Ceil(due) < due {
+			e.tokens = 1
+		}
+	}
 	return e.tokens >= 1
 }
 
 // share is the part of this call server in the set-ups that a cold exchange can take within TipAfter. What a
-// processor of our size can do is guessed from what full own groups turn over.
+// processor can do is guessed from what its groups turn over when full, and each call server sends what its
+// own group would: exchanges differ in size, and so the parts add up whatever the sizes.
 func (c *Controller) share(e *exchange) float64 {
-	ramp := c.set.ColdFrom
+	ramp, circuits := c.set.ColdFrom, float64(e.total)
 	if late := c.now - e.coldAt - c.set.TipAfter; late > 0 && c.set.ColdFor > 0 {
 		ramp = math.Min(1, ramp+(1-ramp)*float64(late)/float64(c.set.ColdFor))
 	}
-	hold := math.Max(c.meanHold().Seconds(), 0.1)
-	capacity := math.Max(headroom*float64(c.circuits)/(hold*c.meanWidth()), 1)
-	senders := float64(c.set.Instances)
-	if e.number == c.set.Home && !c.set.Pools { // its own calls are half of the work of a processor
-		senders = math.Min(senders, 2)
+	if c.set.Pools {
+		circuits = float64(c.circuits) / float64(c.set.Instances)
+	} else if e.number == c.set.Home { // its own calls are half of the work of a processor
+		circuits = float64(c.circuits) / math.Min(float64(c.set.Instances), 2)
 	}
-	return c.set.Overload * ramp * capacity * c.set.TipAfter.Seconds() / senders
+	full := headroom * math.Max(circuits, 1) / (math.Max(c.meanHold().Seconds(), 0.1) * c.meanWidth())
+	return c.set.Overload * ramp * full * c.set.TipAfter.Seconds()
 }
 
 // pressed sheds a call that would not stand in time, least worth first: a late set-up costs two processors
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -434,6 +434,7 @@
 			}
 			c.circuits = 150
 			e := c.exchange(1, true)
+			e.total = 2 // of them
 			c.now = time.Second
 			c.chill(e, c.now)
 			budget = c.share(e) * servers
@@ -450,6 +451,128 @@
 	}
 }
 
+// coldFleet is call servers of very unequal size around one cold exchange, each with its own group toward it.
+type coldFleet struct {
+	t       *testing.T
+	all     []*Controller
+	size    []float64
+	started time.Duration
+	budget  float64 // what all of them may send within TipAfter while it is coldest
+	sends   []time.Duration
+}
+
+// newColdFleet makes call servers of whose circuits the largest has ten times as many as the smallest; the cold
+// exchange is as small as the smallest. Groups are as traffic is: by the sizes of both ends.
+func newColdFleet(t *testing.T, servers int) *coldFleet {
+	f := &coldFleet{t: t, size: make([]float64, servers), started: time.Minute}
+	sum := 0.0
+	for i := range f.size {
+		f.size[i] = 68 * math.Pow(10, float64(i)/float64(servers-1))
+		sum += f.size[i]
+	}
+	circuits := 0
+	for i := range f.size {
+		g := max(1, int(f.size[i]*f.size[0]/sum+0.5))
+		circuits += g
+		f.all = append(f.all, f.born(i, g, f.started))
+	}
+	c := f.all[0]
+	f.budget = c.set.Overload * c.set.ColdFrom * headroom * float64(circuits) / (c.meanHold().Seconds() * c.meanWidth()) *
+		c.set.TipAfter.Seconds()
+	return f
+}
+
+// born makes a call server that hears of the cold exchange now.
+func (f *coldFleet) born(i, group int, now time.Duration) *Controller {
+	s := testSettings()
+	s.Me, s.Instances, s.ColdFor, s.Host = i, len(f.size), 15*time.Second, newChecker(s)
+	c, err := New(s, int64(i)+int64(now))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	c.circuits = int(f.size[i])
+	e := c.exchange(1, true)
+	e.total, c.now = group, now
+	c.chill(e, f.started)
+	return c
+}
+
+// play has calls for the cold exchange come at a rate in each call server, from a time after its start on; allow is the
+// rule under test.
+func (f *coldFleet) play(from, until time.Duration, rate float64, allow func(*Controller, *exchange) bool) {
+	const step = 20 * time.Millisecond
+	for now := f.started + from; now < f.started+until; now += step {
+		for _, c := range f.all {
+			c.now = now
+			if e := c.exchange(1, false); c.rng.Float64() < rate*step.Seconds() && allow(c, e) {
+				e.tokens--
+				f.sends = append(f.sends, now)
+			}
+		}
+	}
+}
+
+// worst is the most that was sent within TipAfter beside what a cold exchange bears then: its budget N and, by chance,
+// twice the root of N and two more.
+func (f *coldFleet) worst() (part float64, sent int) {
+	s := f.all[0].set
+	for last, first := 0, 0; last < len(f.sends); last++ {
+		for f.sends[last]-f.sends[first] >= s.TipAfter {
+			first++
+		}
+		age := float64(f.sends[last] - f.started)
+		n := f.budget * (s.ColdFrom + (1-s.ColdFrom)*math.Min(1, age/float64(s.ColdFor))) / s.ColdFrom
+		if p := float64(last-first+1) / (n + 2*math.Sqrt(n) + 2); p > part {
+			part, sent = p, last-first+1
+		}
+	}
+	return part, sent
+}
+
+// Guards against a cold exchange that falls under what all call servers send together, each of which keeps to a share of
+// under one call: whenever they are wanted all at once, after any silence, and when most of them start anew.
+func TestColdBudgetOfAFleet(t *testing.T) {
+	ready := func(c *Controller, e *exchange) bool { return c.warm(e) }
+	saved := func(c *Controller, e *exchange) bool { // the breach: each holds a whole call when all are wanted
+		if c.now-e.tokensAt < c.set.TipAfter {
+			return false
+		}
+		e.tokens, e.tokensAt = 1, c.now
+		return true
+	}
+	for _, servers := range []int{30, 48, 90} {
+		for _, silence := range []time.Duration{0, time.Second, 3 * time.Second, 6 * time.Second} {
+			f := newColdFleet(t, servers)
+			f.play(silence, 10*time.Second, 20, ready)
+			part, sent := f.worst()
+			t.Logf("%d call servers, wanted after %v: %d sent in a window, %.2f of what it bears, %d in all, budget %.1f", servers, silence, sent, part, len(f.sends), f.budget)
+			if part > 1 {
+				t.Errorf("%d call servers, all wanted after %v: %d sent, %.2f of what it bears", servers, silence, sent, part)
+			} else if float64(len(f.sends)) < 0.3*f.budget {
+				t.Errorf("%d call servers, all wanted after %v: only %d sent, budget %.1f", servers, silence, len(f.sends), f.budget)
+			}
+		}
+		f := newColdFleet(t, servers)
+		f.play(0, 2*time.Second, 20, ready)
+		for i := range f.all {
+			if i%10 < 7 {
+				f.all[i] = f.born(i, f.all[i].exchange(1, false).total, f.started+2*time.Second)
+			}
+		}
+		f.play(2*time.Second, 10*time.Second, 20, ready)
+		if part, sent := f.worst(); part > 1 {
+			t.Errorf("%d call servers, seven in ten started anew: %d sent, %.2f of what it bears", servers, sent, part)
+		}
+	}
+	for _, servers := range []int{48, 90} {
+		f := newColdFleet(t, servers)
+		f.play(3*time.Second, 6*time.Second, 20, saved)
+		if part, sent := f.worst(); part <= 1 {
+			t.Errorf("the check does not find %d call servers that save up a call each: %d sent, %.2f", servers, sent, part)
+		}
+	}
+}
+
 // Guards against refusing for want of a circuit that frees in a moment, and against a second attempt for a call
 // that waited, was sent by its timer and then timed out: it must leave the queue before the group is told free.
 func TestBlockedCallWaitsForItsGroup(t *testing.T) {
