Connections that only test give way before those on which calls stood

By id, n6: 5.650 200 to the caller on connection 21; 6.532 that connection closed, "too many connections"; 6.562 the office's release of the call (41); 7.652 the BYE, on a connection of a stranger, the first that carried an INVITE. Between 6.4 and 7.7 s 829 connections were closed for their number, and 736 OPTIONS came.

Checked and ruled out: the release came in time and on the connection of the set-up; nothing was stuck. Lines at fault: callserver/callers.go, idlest(): a connection that has said anything at all ranked with those that have carried a call, and new ones that only test are always younger.

Change: silent ones give way first, then those that only tested, fresh ones, those with a call, those on which a call stood. Test: TestTestsDoNotPushOutConnectionsOfCalls (fails without the change, run so).

--- a/callserver/callers.go
+++ b/callserver/callers.go
@@ -81,24 +81,38 @@
 	}
 }
 
-// idlest is the connection that gives way to a new one: first those that have said nothing for a moment, then the
-// one that is longest without a call. The new one itself has had no time to speak.
+// idlest is the connection that gives way to a new one: that of the least worth, and of these the one that is longest
+// without a call. The new one itself has had no time to speak.
 func (s *Server) idlest(newest *caller) *caller {
 	var best *caller
-	bestSaid := false
 	for _, c := range s.callers {
 		if c.open > 0 || c == newest {
 			continue
 		}
-		said := c.used > 0 || s.now-c.born < firstWord
-		if best == nil || !said && bestSaid || said == bestSaid && cmp.Or(
+		if best == nil || cmp.Or(cmp.Compare(s.worth(c), s.worth(best)),
 			cmp.Compare(max(c.used, c.born), max(best.used, best.born)), cmp.Compare(c.id, best.id)) < 0 {
-			best, bestSaid = c, said
+			best = c
 		}
 	}
 	return best
 }
 
+// worth ranks connections without a set-up. The danger: strangers that only test, again and again on new connections, push
+// out those on which calls stood, and a release finds no connection from callers to go out on.
+func (s *Server) worth(c *caller) int {
+	switch {
+	case c.proven:
+		return 4
+	case c.used > 1: // it has carried a call
+		return 3
+	case c.used == 0 && s.now-c.born < firstWord:
+		return 2
+	case c.used > 0: // it has only tested
+		return 1
+	}
+	return 0
+}
+
 // checkCaller closes a connection that says nothing, or does not finish what it began.
 func (s *Server) checkCaller(id ConnID) {
 	c := s.callers[id]
--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -559,6 +559,33 @@
 	}
 }
 
+// The danger: hundreds of connections a second that only test push out the one on which a call stood; its release finds no
+// connection from callers, and the caller is told too late or never.
+func TestTestsDoNotPushOutConnectionsOfCalls(t *testing.T) {
+	b := newBench(t, nil)
+	b.up("10.0.0.1:5080")
+	c := b.caller()
+	b.say(c, invite(7, "dest:1;width:1"))
+	a, _ := b.setUp(7)
+	b.office(a, answer(7))
+	same(t, "the answer", b.heard(c), "200")
+	refused := b.caller()
+	b.say(refused, invite(8, "dest:9;width:1"))
+	same(t, "a call to nowhere", b.heard(refused), "503")
+	for i := range 200 {
+		b.pass(time.Millisecond)
+		d := b.caller()
+		if i%3 > 0 { // others say nothing
+			b.say(d, request("OPTIONS", 1))
+		}
+	}
+	if _, gone := b.closed[refused]; gone {
+		t.Error("a connection that has carried a call gave way to tests")
+	}
+	b.office(a, ends(7, office.CauseTemporary, ""))
+	same(t, "the caller of a call that was cut", b.heard(c), "BYE")
+}
+
 func TestSilentAndHalfMessagesAreClosedInTime(t *testing.T) {
 	b := newBench(t, nil)
 	silent, half := b.caller(), b.caller()
