A call whose end comes before its answer is over, not reset, on its own connection too

Checked and ruled out: a cut (41) was the first guess; the cause in the trace is 16 in every case. Lines at fault: callserver/offices.go, released(): cause 16 on the connection of the set-up fell through to a reset, and the module sent the call again, while missed() already knew on other connections that only what has stood ends so.

Change: cause 16 before the answer is the end of the call on any connection; on its own one the attempt ends as Ended. Test: TestCallThatIsOverOnItsConnectionBeforeItsAnswerCame (fails without the change, run so: a second attempt).

--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -175,13 +175,19 @@
 	s.ctl.Outcome(s.now, o)
 }
 
-// missed ends a call that has stood and is over while its caller still waits: the answer was lost on its way. The
-// caller is told now; another attempt would be a second run of what has run to its end.
-func (s *Server) missed(k *call) {
+// missed ends a call that has stood and is over while its caller still waits: the answer was lost on its way, or comes
+// later than the end. The caller is told now; another attempt would be a second run of what has run to its end.
+func (s *Server) missed(k *call, a *assoc, load []float64) {
 	s.log(slog.LevelInfo, "call is over whose answer was lost", slog.String("call", k.callID), slog.String("office", k.at.id))
 	s.totals.Failed++
 	s.respond(k.from, k.head, 500, 0, nil)
-	s.withdraw(k)
+	if a.find(k.wire) != k { // said on another connection, or of an attempt that was given up
+		s.withdraw(k)
+		return
+	}
+	s.answered(k)
+	s.over(k, logic.Outcome{Status: logic.Ended, Load: load})
+	s.retire(a)
 }
 
 // endStanding releases a call that stood toward its caller.
--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -207,7 +207,7 @@
 
 func (s *Server) traceOffice(text string, a *assoc, m *office.Message) {
 	if s.cfg.LogLevel <= slog.LevelDebug && m.Type != office.GroupState { // told on every connection at every change
-		s.trace(text, a.to.id, a.id, fmt.Sprintf("%016x", m.Call), int(m.Type))
+		s.trace(fmt.Sprintf("%s: type %d cause %d", text, m.Type, m.Cause), a.to.id, a.id, fmt.Sprintf("%016x", m.Call), int(m.Type))
 	}
 }
 
--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -389,6 +389,28 @@
 
 // The danger: an office's release is lost on a connection that is dead, and said again on the next one that is opened;
 // but none is, as idle ones are at hand, and the caller is not told within the second.
+// The danger: an answer comes later than the end of its call, on the connection of its set-up. Taken for a reset, the call is
+// sent a second time, while its caller is owed the word that it is over.
+func TestCallThatIsOverOnItsConnectionBeforeItsAnswerCame(t *testing.T) {
+	b := newBench(t, nil)
+	b.up("10.0.0.1:5080")
+	c := b.caller()
+	b.say(c, invite(7, "dest:1;width:1"))
+	on, _ := b.setUp(7)
+	b.pass(700 * time.Millisecond)
+	b.office(on, ends(7, office.CauseNormal, ""))
+	same(t, "the caller", b.heard(c), "500")
+	if len(b.s.calls) != 0 || len(b.s.byID) != 0 || len(b.s.assocs[on].open) != 0 {
+		t.Error("the call is kept")
+	}
+	b.office(on, answer(7)) // late
+	b.pass(2 * time.Second)
+	same(t, "the caller later", b.heard(c))
+	if len(b.sends) != 1 || len(b.sent(on)) != 0 {
+		t.Errorf("a call that has run to its end: %d attempts", len(b.sends))
+	}
+}
+
 func TestAFreshConnectionFetchesReleasesThatMayBeLost(t *testing.T) {
 	for name, lose := range map[string]func(b *bench, c, on ConnID){
 		"its connection ends": func(b *bench, _, on ConnID) { b.apply(Input{Kind: InClosed, Conn: on}) },
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -482,6 +482,11 @@
 		s.spoilt(a, err.Error())
 		return
 	}
+	k := s.byID[m.Call]
+	if k != nil && k.at == a.to && k.state == settingUp && m.HasCause && m.Cause == office.CauseNormal {
+		s.missed(k, a, load) // so ends only what has stood
+		return
+	}
 	if k := a.find(m.Call); k != nil {
 		o := logic.Outcome{Status: logic.Reset, Note: notes[m.Note], Load: load}
 		if status, ok := statuses[m.Cause]; ok && m.HasCause {
@@ -491,15 +496,8 @@
 		s.retire(a)
 		return
 	}
-	k := s.byID[m.Call]
-	if k == nil || k.at != a.to {
-		return // of a call that is over already
-	}
-	if k.state == settingUp {
-		if m.HasCause && m.Cause == office.CauseNormal { // so ends only what has stood
-			s.missed(k)
-		}
-		return
+	if k == nil || k.at != a.to || k.state == settingUp {
+		return // of a call that is over already, or of an attempt that is
 	}
 	if s.ofEarlier(k, a, m.Cause) {
 		return
