--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -863,6 +863,82 @@
 	}
 }
 
+// A caller leaves at each stage of its call, by CANCEL or by the end of its connection, before and after what would have
+// come next: nothing goes out for it from then on, and what is out is released.
+func TestDeparturesAtEveryStage(t *testing.T) {
+	leave := map[string]func(b *bench, c ConnID){
+		"CANCEL": func(b *bench, c ConnID) { b.say(c, request("CANCEL", 7)) },
+		"an end": func(b *bench, c ConnID) { b.apply(Input{Kind: InClosed, Conn: c}) },
+	}
+	stages := map[string]struct {
+		come, next func(b *bench)
+		out        bool // an attempt is out when the caller leaves, if nothing came next before
+	}{
+		"waits for a connection": {come: func(*bench) {}, next: func(b *bench) { b.up("10.0.0.1:5080") }},
+		"waits for the release time": {come: func(b *bench) {
+			b.up("10.0.0.1:5080")
+			b.office(b.s.byID[7].on.id, ends(7, office.CauseTemporary, ""))
+		}, next: func(b *bench) { b.pass(300 * time.Millisecond) }},
+		"is out": {come: func(b *bench) { b.up("10.0.0.1:5080") }, next: func(b *bench) { b.office(b.s.byID[7].on.id, answer(7)) }, out: true},
+		"has no room": {come: func(b *bench) {
+			b.up("10.0.0.1:5080")
+			b.office(b.s.byID[7].on.id, ends(7, office.CauseNoCircuit, "blocked"))
+		}, next: func(b *bench) { b.pass(time.Second) }},
+	}
+	sent := func(b *bench, kind office.Type) (n int) {
+		for id := range b.s.assocs {
+			for _, m := range b.sent(id) {
+				if m.Type == kind && m.Call == 7 {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	for stage, st := range stages {
+		for way, f := range leave {
+			t.Run(stage+", "+way, func(t *testing.T) {
+				b := newBench(t, nil)
+				c := b.caller()
+				b.say(c, invite(7, "dest:1;width:1"))
+				st.come(b)
+				sent(b, office.SetUp)
+				f(b, c)
+				if got := sent(b, office.Release); (got > 0) != st.out {
+					t.Errorf("%d releases", got)
+				}
+				if b.s.byID[7] != nil {
+					t.Fatal("the call is kept")
+				}
+				b.up("10.0.0.1:5080")
+				b.pass(5 * time.Second)
+				b.up("10.0.0.1:5080")
+				if got := sent(b, office.SetUp); got != 0 || len(b.s.calls) != 0 {
+					t.Errorf("%d set-ups after the caller had gone, %d calls kept", got, len(b.s.calls))
+				}
+			})
+			t.Run(stage+" no more, "+way, func(t *testing.T) {
+				b := newBench(t, nil)
+				c := b.caller()
+				b.say(c, invite(7, "dest:1;width:1"))
+				st.come(b)
+				st.next(b)
+				b.up("10.0.0.1:5080")
+				sent(b, office.SetUp)
+				f(b, c)
+				if k := b.s.byID[7]; k != nil && (way == "CANCEL" || k.state != standing) {
+					t.Fatal("the call is kept")
+				}
+				b.pass(5 * time.Second)
+				b.up("10.0.0.1:5080")
+				if got := sent(b, office.SetUp); got != 0 {
+					t.Errorf("%d set-ups after the caller had gone", got)
+				}
+			})
+		}
+	}
+}
+
 // What began after its caller had gone is counted, whatever the order in which word of the two was handled.
 func TestAttemptsAfterTheCallerHadGoneAreCounted(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -426,6 +426,143 @@
 	s.judge()
 }
 
+// A caller leaves by every way that a socket has, while its call waits for the release time: there is no other attempt.
+func TestEveryWayToLeaveEndsTheCall(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, func(call uint64, _ int) platform.Deed {
+		if call < 100 {
+			return platform.Reset
+		}
+		return platform.Stand
+	})
+	ways := []func(c *platform.Caller, call uint64){
+		func(c *platform.Caller, call uint64) { c.Leave(call) },
+		func(c *platform.Caller, call uint64) {
+			if err := c.Conn.(*net.TCPConn).SetLinger(0); err != nil { // a reset
+				t.Error(err)
+			}
+			c.Leave(call)
+		},
+		func(c *platform.Caller, call uint64) {
+			s.world.Judge(func(at time.Duration, p *rulecheck.Platform) { p.GivenUp(at, call) })
+			if err := c.Conn.(*net.TCPConn).CloseWrite(); err != nil { // half of it
+				t.Error(err)
+			}
+		},
+		func(c *platform.Caller, call uint64) {
+			if err := c.Cancel(call); err != nil {
+				t.Error(err)
+			}
+		},
+	}
+	for i, leave := range ways {
+		call := uint64(i) + 1
+		c := s.dial()
+		s.invite(c, call, 1, 2500*time.Millisecond)
+		s.until("the first attempt", func() bool { return s.offices[1].SetUps(call) == 1 })
+		leave(c, call)
+	}
+	<-time.After(400 * time.Millisecond) // two release times
+	d := s.dial()
+	s.invite(d, 100, 1, 2500*time.Millisecond)
+	s.await(d, "the answer of the last call", final(100))
+	for i := range ways {
+		if n := s.offices[1].SetUps(uint64(i) + 1); n != 1 {
+			t.Errorf("way %d: %d attempts", i, n)
+		}
+	}
+	s.judge()
+}
+
+// closed counts the connections that the node has ended.
+func closed(all []*platform.Caller) (n int) {
+	for _, c := range all {
+		for open := true; open; {
+			select {
+			case _, ok := <-c.Heard:
+				if open = ok; !ok {
+					n++
+				}
+			default:
+				open = false
+			}
+		}
+	}
+	return n
+}
+
+// The danger: idle clients hold all descriptors while the journal is silent and an office's connections must be opened anew.
+func TestIdleClientsLeaveOfficesAndJournalTheirShare(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, func(call uint64, attempt int) platform.Deed {
+		if attempt == 1 {
+			return platform.Drop
+		}
+		return platform.Stand
+	})
+	const share = (256 - 24) * 5 / 9
+	var idle []*platform.Caller
+	<-s.journal.Asked
+	s.journal.Hush(true)
+	for range 2 * share {
+		c := s.dial()
+		if err := c.Test(); err != nil {
+			t.Fatal(err)
+		}
+		idle = append(idle, c)
+	}
+	s.until("the idle clients are within their share", func() bool { return closed(idle) >= share })
+	c := s.dial()
+	for call := uint64(1); call <= 10; call++ {
+		s.invite(c, call, 1+int(call)%2, 2500*time.Millisecond)
+		if h := s.await(c, "the answer", final(call)); h.Status != 200 {
+			t.Errorf("call %d: %d", call, h.Status)
+		}
+	}
+	<-s.journal.Asked
+	s.journal.Hush(false)
+	s.judge()
+}
+
+// Set-ups come a byte at a time, several in a piece, half and then nothing, half and then an end: the whole ones are answered.
+func TestSetUpsInPieces(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, func(uint64, int) platform.Deed { return platform.Stand })
+	const legs = "dest:1;width:1;via:-1"
+	taken := func(calls ...uint64) {
+		for _, call := range calls {
+			s.world.Judge(func(at time.Duration, p *rulecheck.Platform) { p.Taken(at, call, 2500*time.Millisecond) })
+		}
+	}
+	write := func(c *platform.Caller, text string) {
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	slow := s.dial()
+	taken(1)
+	for _, b := range []byte(platform.Invitation(1, 2500*time.Millisecond, legs)) {
+		write(slow, string(b))
+	}
+	s.await(slow, "the answer to a set-up in bytes", final(1))
+	many := s.dial()
+	half := platform.Invitation(4, 2500*time.Millisecond, legs)
+	taken(2, 3)
+	write(many, platform.Invitation(2, 2500*time.Millisecond, legs)+platform.Invitation(3, 2500*time.Millisecond, legs)+half[:len(half)/2])
+	for range 2 {
+		s.await(many, "the answer to one of several", func(h platform.Heard) bool { return final(2)(h) || final(3)(h) })
+	}
+	cut := s.dial()
+	write(cut, half[:len(half)-1])
+	cut.Close()
+	for range many.Heard { // until the node has ended it: nothing more came
+	}
+	if n := s.offices[1].SetUps(4); n != 0 {
+		t.Errorf("half a set-up went out %d times", n)
+	}
+	s.judge()
+}
+
 // The danger: a connection that is accepted in the very moment in which a drain ends, and its request, are never seen.
 func TestWhatIsAcceptedLastIsAnswered(t *testing.T) {
 	t.Parallel()
