Lines for the time until ready, the list's age, and what went to cold offices

'ready' once, at the first test that is passed, with the time since the start; list_age in 'totals'; sent_cold in 'office's counts', the attempts sent within cold_for of an office's start. Test: TestLinesThatTellBeliefs. No decision changes.

--- a/callserver/callers.go
+++ b/callserver/callers.go
@@ -223,6 +223,10 @@
 	if len(s.offices) == 0 {
 		return 503
 	}
+	if !s.ready {
+		s.ready = true
+		s.log(slog.LevelInfo, "ready", slog.Duration("after", s.now-s.born), slog.Int("offices", len(s.offices)))
+	}
 	return 200
 }
 
--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -62,6 +62,9 @@
 	probes   map[uint64]*probe
 	owed     []release // releases that no caller's connection could carry yet
 	pos      uint64    // of the last event of the journal
+	born     time.Duration
+	listed   time.Duration // when the list last changed
+	ready    bool          // a test has been passed
 	todo     []func()
 	ending   []func() // ends of attempts whose releases are not known to be written yet
 	effects  []Effect
@@ -119,7 +122,7 @@
 
 // Start begins work with the list of offices as it is known.
 func (s *Server) Start(now time.Duration, known feed.Known) {
-	s.now = now
+	s.now, s.born, s.listed = now, now, now
 	s.begin(known)
 	s.run()
 }
--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -939,6 +939,52 @@
 	}
 }
 
+// What operators compare with the sockets: when the process was ready, how old its list is, what went to a cold office.
+func TestLinesThatTellBeliefs(t *testing.T) {
+	b := newBench(t, func(cfg *Config) { cfg.LogLevel = slog.LevelInfo })
+	c := b.caller()
+	b.pass(time.Second)
+	lines := map[string]map[string]string{}
+	tell := func(do func()) {
+		do()
+		for _, e := range b.s.Effects() {
+			if l, ok := e.(Log); ok {
+				at := map[string]string{}
+				for _, a := range l.Attrs {
+					at[a.Key] = a.Value.String()
+				}
+				lines[l.Text+at["office"]] = at
+			}
+		}
+	}
+	test := Input{At: b.now, Kind: InReceive, Conn: c, Bytes: []byte(request("OPTIONS", 1))}
+	tell(func() { b.s.Apply(test) })
+	if got := lines["ready"]; got["after"] != "1s" || got["offices"] != "3" {
+		t.Errorf("ready: %v", got)
+	}
+	delete(lines, "ready")
+	tell(func() { b.s.Apply(test) })
+	if got := lines["ready"]; got != nil {
+		t.Error("ready a second time")
+	}
+	fresh := member("s-9", 1, feed.Serving)
+	fresh.UpSince = int64(b.now / time.Millisecond)
+	b.apply(Input{Kind: InJournal, Events: []feed.Event{list(2, false, fresh, member("s-1", 1, feed.Deleted))}})
+	b.up("10.0.0.1:5080")
+	for id := uint64(1); len(b.sends) == 0 && id < 100; id++ { // the cold budget begins at a moment of its own
+		b.pass(100 * time.Millisecond)
+		b.say(c, invite(id, "dest:1;width:1"))
+	}
+	b.pass(2*time.Second - b.now%time.Second)
+	tell(b.s.LogTotals)
+	if got := lines["office's countss-9"]; got["sent"] != "1" || got["sent_cold"] != "1" {
+		t.Errorf("the cold office: %v", got)
+	}
+	if age, err := time.ParseDuration(lines["totals"]["list_age"]); err != nil || age != b.now-start-time.Second {
+		t.Errorf("list_age %v, %v", lines["totals"]["list_age"], err)
+	}
+}
+
 // What began after its caller had gone is counted, whatever the order in which word of the two was handled.
 func TestAttemptsAfterTheCallerHadGoneAreCounted(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/callserver/host.go
+++ b/callserver/host.go
@@ -23,6 +23,9 @@
 	k.attempts++
 	k.at, k.sent, k.deadline, k.trying = x, s.now, s.now+timeout, true
 	x.count.sent++
+	if x.started > 0 && s.now-x.started < s.cfg.Settings.ColdFor {
+		x.count.cold++
+	}
 	n := k.attempts - 1
 	s.arm(timeout, timer{kind: timerAttempt, id: id, n: n})
 	if x.state != logic.Ready || s.byID[k.wire] != k {
--- a/callserver/members.go
+++ b/callserver/members.go
@@ -35,7 +35,7 @@
 		s.emit(AskJournal{})
 		return
 	}
-	s.pos = ev.Pos
+	s.pos, s.listed = ev.Pos, s.now
 	kind := logic.ListUpdate
 	if ev.Hosts.Complete {
 		kind = logic.ListReplace
@@ -187,7 +187,8 @@
 // logCounts tells what passed between us and an office.
 func (s *Server) logCounts(x *exchange) {
 	n := x.count
-	s.log(slog.LevelInfo, "office's counts", slog.String("office", x.id), slog.Uint64("sent", n.sent), slog.Uint64("stood", n.stood),
+	s.log(slog.LevelInfo, "office's counts", slog.String("office", x.id), slog.Uint64("sent", n.sent), slog.Uint64("sent_cold", n.cold),
+		slog.Uint64("stood", n.stood),
 		slog.Uint64("full", n.full), slog.Uint64("faulted", n.faulted), slog.Uint64("timed_out", n.timedOut),
 		slog.Uint64("reset", n.reset), slog.Uint64("no_connect", n.noConnect), slog.Uint64("not_sent", n.notSent),
 		slog.Uint64("cancelled", n.cancelled), slog.Int("standing", x.standing), slog.Int("connections", len(x.assocs)))
@@ -199,6 +200,7 @@
 	open, standing := s.Held()
 	s.log(slog.LevelInfo, "totals", slog.Uint64("offered", t.Offered), slog.Uint64("stood", t.Stood), slog.Uint64("refused", t.Refused),
 		slog.Uint64("failed", t.Failed), slog.Uint64("hung_up", t.HungUp), slog.Uint64("departed", t.Departed),
+		slog.Duration("list_age", s.now-s.listed),
 		slog.Uint64("unreadable", t.Faults), slog.Int("open", open),
 		slog.Int("standing", standing), slog.Int("callers", len(s.callers)), slog.Int("offices", len(s.assocs)))
 	for _, x := range s.ordered() {
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -29,7 +29,7 @@
 }
 
 // count is what passed between us and an office.
-type count struct{ sent, stood, full, faulted, timedOut, reset, noConnect, notSent, cancelled uint64 }
+type count struct{ sent, cold, stood, full, faulted, timedOut, reset, noConnect, notSent, cancelled uint64 }
 
 func (c *count) add(s logic.Status) {
 	switch s {
