--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -939,6 +939,53 @@
 	}
 }
 
+// The list comes in every form that a journal can give it; what it names is known, and nothing else.
+func TestListsOfEveryForm(t *testing.T) {
+	a, b1, gone := member("s-1", 1, feed.Serving), member("s-2", 2, feed.Serving), member("s-1", 1, feed.Deleted)
+	drains := member("s-1", 1, feed.Draining)
+	own := member("s-0", 0, feed.Serving)
+	for name, c := range map[string]struct {
+		events []feed.Event
+		known  string // offices by id, with their states
+		asked  int
+		pos    uint64
+	}{
+		"a change":                     {[]feed.Event{list(2, false, drains)}, "s-0 0 s-1 1 s-2 0", 0, 2},
+		"a change twice":               {[]feed.Event{list(2, false, drains), list(2, false, a)}, "s-0 0 s-1 1 s-2 0", 0, 2},
+		"an old one":                   {[]feed.Event{list(1, true, own)}, "s-0 0 s-1 0 s-2 0", 0, 1},
+		"numbers that begin again":     {[]feed.Event{list(2, false, drains), list(1, false, gone)}, "s-0 0 s-1 1 s-2 0", 0, 2},
+		"a gap":                        {[]feed.Event{list(4, false, gone)}, "s-0 0 s-1 0 s-2 0", 1, 0},
+		"a gap, then the whole list":   {[]feed.Event{list(4, false, gone), list(4, true, own, b1)}, "s-0 0 s-2 0", 1, 4},
+		"a gap, then a late change":    {[]feed.Event{list(4, false, gone), list(5, false, gone)}, "s-0 0 s-1 0 s-2 0", 2, 0},
+		"the whole list in its place":  {[]feed.Event{list(2, true, own, a)}, "s-0 0 s-1 0", 0, 2},
+		"the whole list after a gap":   {[]feed.Event{list(9, true, own, a)}, "s-0 0 s-1 0", 0, 9},
+		"the whole list as a change":   {[]feed.Event{list(2, false, own, a)}, "s-0 0 s-1 0 s-2 0", 0, 2},
+		"a whole list without members": {[]feed.Event{list(2, true)}, "", 0, 2},
+		"a change without members":     {[]feed.Event{list(2, false)}, "s-0 0 s-1 0 s-2 0", 0, 2},
+		"gone and back":                {[]feed.Event{list(2, false, gone), list(3, false, a)}, "s-0 0 s-1 0 s-2 0", 0, 3},
+		"gone, and never known":        {[]feed.Event{list(2, false, member("s-7", 2, feed.Deleted))}, "s-0 0 s-1 0 s-2 0", 0, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.apply(Input{Kind: InJournal, Events: c.events})
+			var known []string
+			for _, x := range b.s.ordered() {
+				known = append(known, fmt.Sprintf("%s %d", x.id, x.state))
+			}
+			if got := strings.Join(known, " "); got != c.known || len(b.asked) != c.asked || b.s.Pos() != c.pos {
+				t.Errorf("known %q, not %q; asked %d times; at %d", got, c.known, len(b.asked), b.s.Pos())
+			}
+			caller := b.caller()
+			b.say(caller, invite(7, "dest:1;width:1"))
+			b.up("10.0.0.1:5080")
+			out := len(b.sends) > 0 && b.sends[0].Office == "s-1"
+			if want := strings.Contains(c.known, "s-1 0"); out != want && name != "gone and back" { // that one is cold
+				t.Errorf("a call for s-1: %+v", b.sends)
+			}
+		})
+	}
+}
+
 // What operators compare with the sockets: when the process was ready, how old its list is, what went to a cold office.
 func TestLinesThatTellBeliefs(t *testing.T) {
 	b := newBench(t, func(cfg *Config) { cfg.LogLevel = slog.LevelInfo })
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -474,6 +474,58 @@
 	s.judge()
 }
 
+// Signals come in any order, also before the first list, twice, and together; what was taken is answered and Run ends in time.
+func TestSignalsInAnyOrder(t *testing.T) {
+	t.Parallel()
+	reload, leave := (*Node).Reload, (*Node).Leave
+	bad := func(s *stage) {
+		if err := os.WriteFile(s.path, []byte(`{"name":"n0","lis`), 0o600); err != nil {
+			s.t.Error(err)
+		}
+	}
+	for name, c := range map[string]struct {
+		before  func(s *stage)
+		signals []func(*Node)
+	}{
+		"leave at once":             {signals: []func(*Node){leave}},
+		"leave twice":               {signals: []func(*Node){leave, leave}},
+		"reload, leave":             {signals: []func(*Node){reload, leave}},
+		"reload twice, leave":       {signals: []func(*Node){reload, reload, leave}},
+		"leave, reload":             {signals: []func(*Node){leave, reload}},
+		"half a file, leave":        {before: bad, signals: []func(*Node){reload, leave}},
+		"leave with a dead journal": {before: func(s *stage) { s.journal.Hush(true) }, signals: []func(*Node){leave, reload, leave}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, func(uint64, int) platform.Deed { return platform.Stand }, func(s *stage) {
+				s.set = strings.NewReplacer(`"deadline_ns":3000000000`, `"deadline_ns":300000000`)
+			})
+			if c.before != nil {
+				c.before(s)
+			}
+			for _, signal := range c.signals {
+				signal(s.node)
+			}
+			kill := time.After(300*time.Millisecond + drainServe)
+			caller := s.dial()
+			s.invite(caller, 1, 1, 300*time.Millisecond)
+			if h := s.await(caller, "the answer", final(1)); h.Status != 200 {
+				t.Errorf("answered with %d", h.Status)
+			}
+			select {
+			case err := <-s.ended:
+				s.ended <- err
+				if err != nil {
+					t.Error(err)
+				}
+			case <-kill:
+				t.Error("the drain does not end before it may be killed")
+			}
+			s.judge()
+		})
+	}
+}
+
 // closed counts the connections that the node has ended.
 func closed(all []*platform.Caller) (n int) {
 	for _, c := range all {
