--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -939,6 +939,75 @@
 	}
 }
 
+// An attempt runs out of time beside another end of it, in both orders, and before its release is known to be written: it has
+// one end, its caller one answer at most, and no other attempt begins within the release time.
+func TestEndsOfAnAttemptThatCross(t *testing.T) {
+	ends := map[string]struct {
+		do    func(b *bench, on, c ConnID)
+		stood bool // if it comes first
+		gone  bool // the caller
+	}{
+		"answer":       {do: func(b *bench, on, _ ConnID) { b.office(on, answer(7)) }, stood: true},
+		"reset":        {do: func(b *bench, on, _ ConnID) { b.office(on, ends(7, office.CauseTemporary, "")) }},
+		"full":         {do: func(b *bench, on, _ ConnID) { b.office(on, ends(7, office.CauseNoCircuit, "blocked")) }},
+		"its end":      {do: func(b *bench, on, _ ConnID) { b.apply(Input{Kind: InClosed, Conn: on}) }},
+		"noise":        {do: func(b *bench, on, _ ConnID) { b.apply(Input{Kind: InReceive, Conn: on, Bytes: []byte{0, 0, 9, 9}}) }},
+		"stuck":        {do: func(b *bench, on, _ ConnID) { b.apply(Input{Kind: InStuck, Conn: on, On: true}) }},
+		"CANCEL":       {do: func(b *bench, _, c ConnID) { b.say(c, request("CANCEL", 7)) }, gone: true},
+		"caller's end": {do: func(b *bench, _, c ConnID) { b.apply(Input{Kind: InClosed, Conn: c}) }, gone: true},
+	}
+	timeOut := func(b *bench) {
+		b.s.fire(timer{kind: timerAttempt, id: 1, n: 0})
+		b.s.run()
+		b.take()
+	}
+	for name, e := range ends {
+		for _, first := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, first %v", name, first), func(t *testing.T) {
+				b := newBench(t, nil)
+				b.up("10.0.0.1:5080")
+				c := b.caller()
+				b.say(c, invite(7, "dest:1;width:1"))
+				on, _ := b.setUp(7)
+				b.unwritten = true
+				if first {
+					e.do(b, on, c)
+					timeOut(b)
+				} else {
+					timeOut(b)
+					e.do(b, on, c)
+				}
+				b.unwritten = false
+				written := b.now
+				b.apply(Input{Kind: InWritten})
+				n := b.s.offices["s-1"].count
+				if got := n.stood + n.full + n.faulted + n.timedOut + n.reset + n.noConnect + n.notSent + n.cancelled; got != 1 {
+					t.Errorf("%d ends of one attempt: %+v", got, n)
+				}
+				if (n.stood == 1) != (first && e.stood) {
+					t.Errorf("stood: %+v", n)
+				}
+				for range 20 {
+					b.up("10.0.0.1:5080")
+					b.pass(10 * time.Millisecond)
+				}
+				b.pass(time.Second)
+				answers := 0
+				if !e.gone {
+					for _, h := range b.heard(c) {
+						if h == "200" || h == "500" || h == "503" {
+							answers++
+						}
+					}
+				}
+				if answers > 1 || len(b.sends) > 1 && (e.gone || b.sends[1].At < written+b.s.cfg.Settings.Release && n.full == 0) {
+					t.Errorf("%d answers, attempts %+v", answers, b.sends)
+				}
+			})
+		}
+	}
+}
+
 // The list comes in every form that a journal can give it; what it names is known, and nothing else.
 func TestListsOfEveryForm(t *testing.T) {
 	a, b1, gone := member("s-1", 1, feed.Serving), member("s-2", 2, feed.Serving), member("s-1", 1, feed.Deleted)
