--- a/callserver/callers.go
+++ b/callserver/callers.go
@@ -187,14 +187,14 @@
 }
 
 func (s *Server) respond(c *caller, h sip.Head, status, wait int, body []byte) {
-	s.trace("to caller", c.from, c.id, h.CallID, status)
+	s.trace("to caller", "", c.from, c.id, h.CallID, status)
 	s.emit(Write{Conn: c.id, Bytes: sip.Response(nil, h, status, wait, body)})
 }
 
 // message takes one message of a caller.
 func (s *Server) message(c *caller, m *sip.Message) {
 	c.used = max(c.used, 1) // it speaks; only calls count as use
-	s.trace("from caller: "+m.Method, c.from, c.id, m.CallID, m.Status)
+	s.trace("from caller", m.Method, c.from, c.id, m.CallID, m.Status)
 	if m.Status > 0 { // to our BYE; free
 		if id, err := callID(m.CallID); err == nil {
 			c.byes.heard(id)
@@ -450,6 +450,6 @@
 		return
 	}
 	c.byes.add(release{at: s.now, call: k, wire: k.wire, cause: cause})
-	s.trace("to caller: BYE", c.from, c.id, k.callID, int(cause))
+	s.trace("to caller", "BYE", c.from, c.id, k.callID, int(cause))
 	s.emit(Write{Conn: c.id, Bytes: sip.Request(nil, "BYE", "sip:"+k.number+"@net", k.callID, 2, int(cause))})
 }
--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -206,8 +206,11 @@
 
 // trace tells of one step of a call or a connection. With debug lines on, the id of a call can be followed from its caller
 // to its offices and back.
-func (s *Server) trace(text, peer string, conn ConnID, callID string, what int) {
+func (s *Server) trace(text, kind, peer string, conn ConnID, callID string, what int) {
 	if s.cfg.LogLevel <= slog.LevelDebug {
+		if kind != "" {
+			text += ": " + kind
+		}
 		s.emit(Log{Level: slog.LevelDebug, Text: text, Attrs: []slog.Attr{slog.String("peer", peer), slog.Uint64("conn", uint64(conn)),
 			slog.String("call", callID), slog.Int("what", what)}})
 	}
@@ -215,7 +218,7 @@
 
 func (s *Server) traceOffice(text string, a *assoc, m *office.Message) {
 	if s.cfg.LogLevel <= slog.LevelDebug && m.Type != office.GroupState { // told on every connection at every change
-		s.trace(fmt.Sprintf("%s: type %d cause %d", text, m.Type, m.Cause), a.to.id, a.id, fmt.Sprintf("%016x", m.Call), int(m.Type))
+		s.trace(text, fmt.Sprintf("type %d cause %d", m.Type, m.Cause), a.to.id, a.id, fmt.Sprintf("%016x", m.Call), int(m.Type))
 	}
 }
 
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -155,7 +155,7 @@
 	s.lastConn++
 	a := &assoc{id: s.lastConn, to: x, born: s.now}
 	x.assocs, s.assocs[a.id] = append(x.assocs, a), a
-	s.trace("dial", x.id, a.id, "", 0)
+	s.trace("dial", "", x.id, a.id, "", 0)
 	s.emit(Dial{Conn: a.id, Addr: x.addr, Within: s.cfg.ConnectTimeout})
 }
 
@@ -224,7 +224,7 @@
 	}
 	a.shut = true
 	s.shuts++
-	s.trace("shut", a.to.id, a.id, "", len(a.open))
+	s.trace("shut", "", a.to.id, a.id, "", len(a.open))
 	s.emit(Shut{Conn: a.id})
 	s.arm(shutWithin, timer{kind: timerShut, id: uint64(a.id)})
 }
@@ -277,7 +277,7 @@
 		return
 	}
 	a.up, a.born = true, s.now
-	s.trace("connected", a.to.id, id, "", 0)
+	s.trace("connected", "", a.to.id, id, "", 0)
 	x := a.to
 	x.failures = 0
 	owed := x.owed
@@ -332,7 +332,7 @@
 }
 
 func (s *Server) drop(a *assoc) {
-	s.trace("connection forgotten", a.to.id, a.id, "", len(a.open))
+	s.trace("connection forgotten", "", a.to.id, a.id, "", len(a.open))
 	delete(s.assocs, a.id)
 	if a.shut {
 		s.shuts--
