--- /dev/null
+++ b/review/rig/cases.go
@@ -0,0 +1,134 @@
+package main
+
+import "time"
+
+func init() {
+	cases["huge-length"] = hugeLength
+	cases["same-id"] = sameID
+	cases["successor"] = successor
+}
+
+// hugeLength has an unknown client send one message with a huge Content-Length while a caller's set-up is open.
+func hugeLength(b *bench, trouble bool) verdict {
+	const standing, open uint64 = 0x5a01c07a5be2f301, 0x5a01c07a5be2f302
+	one := b.newOffice("s-00000001", 1, 60)
+	two := b.newOffice("s-00000002", 2, 60)
+	two.delay = 800 * time.Millisecond
+	journal := b.newJournal(one.member, two.member)
+	server := b.startCallServer(b.freeAddr(), journal.addr, journal.known())
+	subscriber := b.newCaller("caller", server.listen)
+	subscriber.write(invite(standing, "status-check", 1, callerDescription))
+	if subscriber.waitAnswer(standing, 2*time.Second) != 200 {
+		b.fail("the first call does not stand")
+	}
+	subscriber.write(invite(open, "status-check", 2, callerDescription))
+	if !two.waitSetUp(open, time.Second) {
+		b.fail("the second set-up has not reached its office")
+	}
+	if trouble {
+		client := b.newCaller("unknown client", server.listen)
+		client.write("INVITE sip:5a01c07a5be2f3@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 5a01c07a5be2f3ff\r\nCSeq: 1 INVITE\r\n" +
+			"X-Cos: status-check\r\nX-Timer-Ms: 1500\r\nContent-Length: 9223372036854775807\r\n\r\n")
+	}
+	status := subscriber.waitAnswer(open, 4*time.Second)
+	b.note("check", "answer to the caller's open set-up: %d; the call server runs: %v", status, server.running())
+	if status == 0 || !server.running() {
+		return broken
+	}
+	return held
+}
+
+// sameID has an unknown client send the id of its open set-up with a different description, and the same thing again as soon
+// as it is turned away. Its office is 23 ms away and has refused the first set-up by then; the refusal is on its way. One
+// circuit toward the office is free, so that the last set-up waits for one.
+func sameID(b *bench, trouble bool) verdict {
+	const standing, id, last uint64 = 0x5a02c07a5be2f301, 0x5a02c07a5be2f3ff, 0x5a02c07a5be2f302
+	one := b.newOffice("s-00000001", 1, 30)
+	one.distance, one.delay, one.occupied = 23*time.Millisecond, 2*time.Millisecond, 28
+	one.refuse = func(call uint64) (byte, string) {
+		if call == id {
+			return 17, "occupied"
+		}
+		return 0, ""
+	}
+	two := b.newOffice("s-00000002", 2, 30)
+	two.distance, two.occupied = 23*time.Millisecond, 30
+	journal := b.newJournal(one.member, two.member)
+	server := b.startCallServer(b.freeAddr(), journal.addr, journal.known())
+	subscriber := b.newCaller("caller", server.listen)
+	subscriber.write(invite(standing, "status-check", 1, callerDescription))
+	if subscriber.waitAnswer(standing, 2*time.Second) != 200 {
+		b.fail("the call does not stand")
+	}
+	time.Sleep(500 * time.Millisecond) // the state of the group has come
+	if trouble {
+		client := b.newCaller("unknown client", server.listen)
+		other := invite(id, "status-check", 1, "0000000000000000\r\nc=IN IP4 10.4.7.8\r\nm=audio 31002 RTP/AVP 0\r\n")
+		client.refused = func() {
+			again := b.newCaller("unknown client", server.listen)
+			again.write(other)
+		}
+		client.write(invite(id, "status-check", 1, callerDescription))
+		time.Sleep(20 * time.Millisecond)
+		client.write(other)
+	}
+	time.Sleep(2 * time.Second)
+	status := 0
+	if server.running() {
+		subscriber.write(invite(last, "status-check", 1, callerDescription))
+		status = subscriber.waitAnswer(last, 4*time.Second)
+	}
+	b.note("check", "answer to a last set-up of the caller: %d; the call server runs: %v", status, server.running())
+	if status == 0 || !server.running() {
+		return broken
+	}
+	return held
+}
+
+// successor replaces an office at its address: the old process ends and the new one listens at once. A call is set up there.
+// Then the journal service tells of the end of the old office and, 0.7 s later, of the new office.
+func successor(b *bench, trouble bool) verdict {
+	const call uint64 = 0x5a03c07a5be2f301
+	old := b.newOffice("s-00000001", 1, 60)
+	other := b.newOffice("s-00000002", 2, 60)
+	journal := b.newJournal(old.member, other.member)
+	server := b.startCallServer(b.freeAddr(), journal.addr, journal.known())
+	subscriber := b.newCaller("caller", server.listen)
+	time.Sleep(time.Second)
+	serving := old
+	if trouble {
+		serving = b.replaceOffice(old, "s-00000003")
+	}
+	replaced := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	subscriber.write(invite(call, "status-check", 1, callerDescription))
+	if subscriber.waitAnswer(call, 3*time.Second) != 200 || !serving.stands(call) {
+		b.fail("the call does not stand")
+	}
+	time.Sleep(time.Until(replaced.Add(700 * time.Millisecond)))
+	if trouble {
+		gone := old.member
+		gone.Phase = "DELETED"
+		journal.tell(gone)
+		time.Sleep(700 * time.Millisecond)
+		journal.tell(serving.member)
+	}
+	return b.judgeStanding(call, serving, subscriber, 6*time.Second)
+}
+
+// judgeStanding watches a call for some time. The rule is broken if its caller is told that it is over while its office holds
+// it and is not sent a release, or if it is over at its office and its caller is not told.
+func (b *bench) judgeStanding(call uint64, at *remoteOffice, subscriber *caller, watch time.Duration) verdict {
+	over := waitFor(watch, func() bool { return subscriber.gotBye(call) || !at.stands(call) })
+	if !over {
+		b.note("check", "the call stands at %s and for its caller", at.member.ID)
+		return held
+	}
+	// Both sides have to learn of the end within 8 s, and 50 ms more on sockets.
+	time.Sleep(8050 * time.Millisecond)
+	b.note("check", "the caller was told that the call is over: %v; it stands at %s: %v", subscriber.gotBye(call), at.member.ID, at.stands(call))
+	if subscriber.gotBye(call) == at.stands(call) {
+		return broken
+	}
+	return held
+}
