review: a call's release goes to an unknown client and never to its caller

Cause: a set-up that is refused for its class makes its connection one for releases of callers' calls.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -8,4 +8,4 @@
 	echo "run the build of the deploy file and review/build.sh first" >&2
 	exit 2
 fi
-exec "$root/review/bin/rig" -case successor -root "$root" -run "$run" -record "$here/record.txt"
+exec "$root/review/bin/rig" -case foreign-release -root "$root" -run "$run" -record "$here/record.txt"
--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -8,7 +8,7 @@
 func init() {
 	cases["huge-length"] = hugeLength
 	cases["same-id"] = sameID
-	cases["successor"] = successor
+	cases["foreign-release"] = foreignRelease
 }
 
 // hugeLength has an unknown client send one message with a huge Content-Length while a caller's set-up is open.
@@ -103,50 +103,62 @@
 	client.write(other)
 }
 
-// successor replaces an office at its address: the old process ends and the new one listens at once. A call is set up there.
-// Then the journal service tells of the end of the old office and, 0.7 s later, of the new office.
-func successor(b *bench, trouble bool) verdict {
-	const call uint64 = 0x5a03c07a5be2f301
-	old := b.newOffice("s-00000001", 1, 60)
-	other := b.newOffice("s-00000002", 2, 60)
-	journal := b.newJournal(old.member, other.member)
+// foreignRelease has an unknown client ask with a class that does not exist and keep its connection, while a call stands whose
+// callers have another connection open. Then the call ends at its office. The callers stay connected.
+func foreignRelease(b *bench, trouble bool) verdict {
+	const earlier, call, busy, foreign uint64 = 0x5a03c07a5be2f300, 0x5a03c07a5be2f301, 0x5a03c07a5be2f400, 0x5a03c07a5be2f3ff
+	one := b.newOffice("s-00000001", 1, 60)
+	one.refuse = func(id uint64) (byte, string) {
+		if id >= busy {
+			return 17, "occupied"
+		}
+		return 0, ""
+	}
+	two := b.newOffice("s-00000002", 2, 60)
+	journal := b.newJournal(one.member, two.member)
 	server := b.startCallServer(b.freeAddr(), journal.addr, journal.known())
-	subscriber := b.newCaller("caller", server.listen)
-	time.Sleep(time.Second)
-	serving := old
-	if trouble {
-		serving = b.replaceOffice(old, "s-00000003")
+	first := b.newCaller("caller, first", server.listen)
+	first.write(invite(earlier, "status-check", 1, callerDescription))
+	first.write(invite(call, "status-check", 1, callerDescription))
+	if first.waitAnswer(earlier, 2*time.Second) != 200 || first.waitAnswer(call, 2*time.Second) != 200 {
+		b.fail("the calls do not stand")
 	}
-	replaced := time.Now()
-	time.Sleep(200 * time.Millisecond)
-	subscriber.write(invite(call, "status-check", 1, callerDescription))
-	if subscriber.waitAnswer(call, 3*time.Second) != 200 || !serving.stands(call) {
-		b.fail("the call does not stand")
+	one.endCall(earlier) // callers say that they hear a release
+	if !waitFor(time.Second, func() bool { return first.gotBye(earlier) }) {
+		b.fail("the first call is not released")
+	}
+	time.Sleep(4 * time.Second) // no call has been set up on the connection for 4 s
+	first.hangUp()
+	time.Sleep(500 * time.Millisecond)
+	second := b.newCaller("caller, second", server.listen)
+	refusedCall := func(id uint64) {
+		second.write(invite(id, "status-check", 1, callerDescription))
+		if status := second.waitAnswer(id, 4*time.Second); status < 300 {
+			b.fail("a call to a busy number is not refused: %d", status)
+		}
 	}
-	time.Sleep(time.Until(replaced.Add(700 * time.Millisecond)))
+	refusedCall(busy)
 	if trouble {
-		gone := old.member
-		gone.Phase = "DELETED"
-		journal.tell(gone)
-		time.Sleep(700 * time.Millisecond)
-		journal.tell(serving.member)
+		client := b.newCaller("unknown client", server.listen)
+		client.ignoreByes()
+		client.write(invite(foreign, "no-such-class", 1, callerDescription))
+		if client.waitAnswer(foreign, 3*time.Second) < 300 {
+			b.fail("the unknown client is not turned away")
+		}
+		defer client.hangUp()
 	}
-	return b.judgeStanding(call, serving, subscriber, 6*time.Second)
-}
-
-// judgeStanding watches a call for some time. The rule is broken if its caller is told that it is over while its office holds
-// it and is not sent a release, or if it is over at its office and its caller is not told.
-func (b *bench) judgeStanding(call uint64, at *remoteOffice, subscriber *caller, watch time.Duration) verdict {
-	over := waitFor(watch, func() bool { return subscriber.gotBye(call) || !at.stands(call) })
-	if !over {
-		b.note("check", "the call stands at %s and for its caller", at.member.ID)
+	time.Sleep(500 * time.Millisecond)
+	released := time.Now()
+	one.endCall(call)
+	told := waitFor(1050*time.Millisecond, func() bool { return second.gotBye(call) })
+	b.note("check", "the caller was released within 1 s: %v; its connection is open: %v", told, !second.hasEnded())
+	if told {
 		return held
 	}
-	// Both sides have to learn of the end within 8 s, and 50 ms more on sockets.
-	time.Sleep(8050 * time.Millisecond)
-	b.note("check", "the caller was told that the call is over: %v; it stands at %s: %v", subscriber.gotBye(call), at.member.ID, at.stands(call))
-	if subscriber.gotBye(call) == at.stands(call) {
-		return broken
+	for id := busy + 1<<8; time.Since(released) < 8050*time.Millisecond; id += 1 << 8 {
+		refusedCall(id) // the caller's connection stays in use
+		waitFor(min(3*time.Second, time.Until(released.Add(8050*time.Millisecond))), func() bool { return second.gotBye(call) })
 	}
-	return held
+	b.note("check", "the caller was released within 8 s: %v; its connection is open: %v", second.gotBye(call), !second.hasEnded())
+	return broken
 }
--- a/review/rig/more.go
+++ b/review/rig/more.go
@@ -1,61 +1,61 @@
 package main
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // The plays in this file are no cases of the review: its report names them.
 func init() {
-	cases["foreign-release"] = foreignRelease
+	cases["successor"] = successor
 	cases["forgotten"] = forgotten
 	cases["late-claim"] = lateClaim
+	cases["resent"] = resent
 }
 
-// foreignRelease has an unknown client ask with a class that does not exist and keep its connection, while a call stands whose
-// callers have another connection open. Then the call ends at its office.
-func foreignRelease(b *bench, trouble bool) verdict {
-	const earlier, call, busy, foreign uint64 = 0x5a04c07a5be2f300, 0x5a04c07a5be2f301, 0x5a04c07a5be2f302, 0x5a04c07a5be2f3ff
-	one := b.newOffice("s-00000001", 1, 60)
-	one.refuse = func(id uint64) (byte, string) {
-		if id == busy {
-			return 17, "occupied"
-		}
-		return 0, ""
-	}
-	two := b.newOffice("s-00000002", 2, 60)
-	journal := b.newJournal(one.member, two.member)
+// successor replaces an office at its address: the old process ends and the new one listens at once. A call is set up there.
+// Then the journal service tells of the end of the old office and, 0.7 s later, of the new office.
+func successor(b *bench, trouble bool) verdict {
+	const call uint64 = 0x5a03c07a5be2f301
+	old := b.newOffice("s-00000001", 1, 60)
+	other := b.newOffice("s-00000002", 2, 60)
+	journal := b.newJournal(old.member, other.member)
 	server := b.startCallServer(b.freeAddr(), journal.addr, journal.known())
-	first := b.newCaller("caller, first", server.listen)
-	first.write(invite(earlier, "status-check", 1, callerDescription))
-	first.write(invite(call, "status-check", 1, callerDescription))
-	if first.waitAnswer(earlier, 2*time.Second) != 200 || first.waitAnswer(call, 2*time.Second) != 200 {
-		b.fail("the calls do not stand")
-	}
-	one.endCall(earlier)
-	if !waitFor(time.Second, func() bool { return first.gotBye(earlier) }) {
-		b.fail("the first call is not released")
+	subscriber := b.newCaller("caller", server.listen)
+	time.Sleep(time.Second)
+	serving := old
+	if trouble {
+		serving = b.replaceOffice(old, "s-00000003")
 	}
-	time.Sleep(4 * time.Second) // without a call on it for 4 s
-	first.hangUp()
-	time.Sleep(500 * time.Millisecond)
-	second := b.newCaller("caller, second", server.listen)
-	second.write(invite(busy, "status-check", 1, callerDescription))
-	if status := second.waitAnswer(busy, 4*time.Second); status < 300 {
-		b.fail("the second call is not refused: %d", status)
+	replaced := time.Now()
+	time.Sleep(200 * time.Millisecond)
+	subscriber.write(invite(call, "status-check", 1, callerDescription))
+	if subscriber.waitAnswer(call, 3*time.Second) != 200 || !serving.stands(call) {
+		b.fail("the call does not stand")
 	}
+	time.Sleep(time.Until(replaced.Add(700 * time.Millisecond)))
 	if trouble {
-		client := b.newCaller("unknown client", server.listen)
-		client.ignoreByes()
-		client.write(invite(foreign, "no-such-class", 1, callerDescription))
-		client.waitAnswer(foreign, time.Second)
-		defer client.hangUp()
+		gone := old.member
+		gone.Phase = "DELETED"
+		journal.tell(gone)
+		time.Sleep(700 * time.Millisecond)
+		journal.tell(serving.member)
 	}
-	time.Sleep(500 * time.Millisecond)
-	one.endCall(call)
-	told := waitFor(1050*time.Millisecond, func() bool { return second.gotBye(call) })
-	b.note("check", "the caller was released within 1 s: %v; its connection is open: %v", told, !second.hasEnded())
-	if second.hasEnded() {
-		b.fail("the caller's connection has ended")
+	return b.judgeStanding(call, serving, subscriber, 6*time.Second)
+}
+
+// judgeStanding watches a call for some time. The rule is broken if its caller is told that it is over while its office holds
+// it and is not sent a release, or if it is over at its office and its caller is not told.
+func (b *bench) judgeStanding(call uint64, at *remoteOffice, subscriber *caller, watch time.Duration) verdict {
+	over := waitFor(watch, func() bool { return subscriber.gotBye(call) || !at.stands(call) })
+	if !over {
+		b.note("check", "the call stands at %s and for its caller", at.member.ID)
+		return held
 	}
-	if !told {
+	// Both sides have to learn of the end within 8 s, and 50 ms more on sockets.
+	time.Sleep(8050 * time.Millisecond)
+	b.note("check", "the caller was told that the call is over: %v; it stands at %s: %v", subscriber.gotBye(call), at.member.ID, at.stands(call))
+	if subscriber.gotBye(call) == at.stands(call) {
 		return broken
 	}
 	return held
@@ -127,3 +127,44 @@
 	}
 	return held
 }
+
+// resent has a resting connection of callers reset in the network while a set-up crosses its end: the call server has read it.
+// The caller sends the set-up once more, on a new connection. The office notes when it gets set-ups and releases of the call.
+func resent(b *bench, trouble bool) verdict {
+	const earlier, call uint64 = 0x5a07c07a5be2f301, 0x5a07c07a5be2f302
+	one := b.newOffice("s-00000001", 1, 60)
+	one.delay = 30 * time.Millisecond
+	two := b.newOffice("s-00000002", 2, 60)
+	journal := b.newJournal(one.member, two.member)
+	server := b.startCallServer(b.freeAddr(), journal.addr, journal.known())
+	resting := b.newCaller("caller, resting", server.listen)
+	resting.write(invite(earlier, "status-check", 1, callerDescription))
+	if resting.waitAnswer(earlier, 2*time.Second) != 200 {
+		b.fail("the call does not stand")
+	}
+	time.Sleep(2 * time.Second)
+	subscriber := resting
+	subscriber.write(invite(call, "status-check", 1, callerDescription))
+	if trouble {
+		time.Sleep(10 * time.Millisecond)
+		b.note("network", "resets the resting connection")
+		_ = resting.Conn.(*net.TCPConn).SetLinger(0)
+		resting.Close()
+		subscriber = b.newCaller("caller, new", server.listen)
+		subscriber.write(invite(call, "status-check", 1, callerDescription))
+	}
+	if subscriber.waitAnswer(call, 4*time.Second) == 0 {
+		b.note("check", "the set-up has no answer")
+		return broken
+	}
+	one.mu.Lock()
+	defer one.mu.Unlock()
+	for i, at := range one.setUpTimes[call] {
+		wait := at.Sub(one.released[call])
+		b.note("check", "set-up %d came %v after the release of the call", i+1, wait)
+		if !one.released[call].IsZero() && wait > 0 && wait < 150*time.Millisecond {
+			return broken
+		}
+	}
+	return held
+}
--- a/review/rig/office.go
+++ b/review/rig/office.go
@@ -24,13 +24,14 @@
 	refuse   func(call uint64) (cause byte, note string)
 	listener net.Listener
 
-	mu        sync.Mutex
-	conns     []*officeLink
-	standing  map[uint64]*officeLink // by call, the connection of its set-up
-	released  map[uint64]time.Time   // when the call server released a call here
-	setUps    map[uint64]int
-	successor *remoteOffice // the office that has its address now; nil: itself
-	unsent    []uint64      // ended calls whose release also goes on the next connection that is opened
+	mu         sync.Mutex
+	conns      []*officeLink
+	standing   map[uint64]*officeLink // by call, the connection of its set-up
+	released   map[uint64]time.Time   // when the call server released a call here
+	setUps     map[uint64]int
+	setUpTimes map[uint64][]time.Time
+	successor  *remoteOffice // the office that has its address now; nil: itself
+	unsent     []uint64      // ended calls whose release also goes on the next connection that is opened
 }
 
 // officeLink is one connection from the call server.
@@ -53,7 +54,7 @@
 // newOffice starts an office on an address of its own.
 func (b *bench) newOffice(id string, cell, total int) *remoteOffice {
 	o := &remoteOffice{b: b, total: total, delay: 5 * time.Millisecond, standing: map[uint64]*officeLink{},
-		released: map[uint64]time.Time{}, setUps: map[uint64]int{}, listener: b.listen()}
+		released: map[uint64]time.Time{}, setUps: map[uint64]int{}, setUpTimes: map[uint64][]time.Time{}, listener: b.listen()}
 	o.member = member{ID: id, Addr: o.listener.Addr().String(), Locality: "east", Flavor: "std", Cell: cell, Phase: "SERVING", Size: 4}
 	go func() {
 		for {
@@ -192,6 +193,7 @@
 		o.mu.Lock()
 		l.open[msg.Call] = true
 		o.setUps[msg.Call]++
+		o.setUpTimes[msg.Call] = append(o.setUpTimes[msg.Call], time.Now())
 		o.mu.Unlock()
 		time.AfterFunc(o.delay, func() { l.decide(msg.Call) })
 	}
@@ -285,7 +287,7 @@
 func (b *bench) replaceOffice(old *remoteOffice, id string) *remoteOffice {
 	b.note(old.member.ID, "its process ends")
 	next := &remoteOffice{b: b, total: old.total, delay: old.delay, standing: map[uint64]*officeLink{},
-		released: map[uint64]time.Time{}, setUps: map[uint64]int{}, member: old.member}
+		released: map[uint64]time.Time{}, setUps: map[uint64]int{}, setUpTimes: map[uint64][]time.Time{}, member: old.member}
 	next.member.ID, next.member.UpSince = id, time.Now().UnixMilli()
 	old.mu.Lock()
 	old.successor = next
