--- a/review/rig/more.go
+++ b/review/rig/more.go
@@ -11,6 +11,7 @@
 	cases["forgotten"] = forgotten
 	cases["late-claim"] = lateClaim
 	cases["resent"] = resent
+	cases["just-established"] = justEstablished
 }
 
 // successor replaces an office at its address: the old process ends and the new one listens at once. A call is set up there.
@@ -168,3 +169,57 @@
 	}
 	return held
 }
+
+// justEstablished kills the call server while its office is replaced at its address. The new process listens 1.75 s after the
+// start of the call server. Callers name the calls that stood at the old one, and a new call is set up on the connection on
+// which the office first reports its circuits.
+func justEstablished(b *bench, trouble bool) verdict {
+	const first, call uint64 = 0x5a08c07a5be2f000, 0x5a08c07a5be2f302
+	old := b.newOffice("s-00000001", 1, 60)
+	other := b.newOffice("s-00000002", 2, 60)
+	journal := b.newJournal(old.member, other.member)
+	server := b.startCallServer(b.freeAddr(), journal.addr, journal.known())
+	subscriber := b.newCaller("caller", server.listen)
+	for id := first; id < first+4; id++ {
+		subscriber.write(invite(id, "status-check", 1, callerDescription))
+		if subscriber.waitAnswer(id, 2*time.Second) != 200 {
+			b.fail("a call does not stand")
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	server.kill()
+	serving := old
+	if trouble {
+		serving = b.replaceOffice(old, "s-00000003")
+		old.listener.Close()
+	}
+	journal = b.newJournal(old.member, other.member) // the list is late
+	started := time.Now()
+	server = b.startCallServer(server.listen, journal.addr, journal.known())
+	time.Sleep(time.Until(started.Add(1750 * time.Millisecond)))
+	if trouble {
+		listener, err := net.Listen("tcp", old.member.Addr)
+		if err != nil {
+			b.fail("listen: %v", err)
+		}
+		b.note(serving.member.ID, "listens at %s", old.member.Addr)
+		old.listener = listener
+		go old.accept()
+	}
+	back := b.newCaller("caller, back", server.listen)
+	for id := first; id < first+4; id++ {
+		back.write("INVITE sip:005a08c07a5be2f0@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: " + idOf(id) + "\r\nCSeq: 1 INVITE\r\n" +
+			"X-Cos: status-check\r\nX-Timer-Ms: 3000\r\nX-Legs: dest:1;width:1;via:-1;at:s-00000001\r\nContent-Length: 0\r\n\r\n")
+	}
+	time.Sleep(50 * time.Millisecond)
+	back.write(invite(call, "status-check", 1, callerDescription))
+	if back.waitAnswer(call, 3*time.Second) != 200 {
+		b.fail("the new call does not stand")
+	}
+	told := waitFor(2*time.Second, func() bool { return back.gotBye(call) })
+	b.note("check", "the new call's caller was told that it is over: %v; it stands at %s: %v", told, serving.member.ID, serving.stands(call))
+	if told {
+		return broken
+	}
+	return held
+}
--- a/review/rig/office.go
+++ b/review/rig/office.go
@@ -56,21 +56,25 @@
 	o := &remoteOffice{b: b, total: total, delay: 5 * time.Millisecond, standing: map[uint64]*officeLink{},
 		released: map[uint64]time.Time{}, setUps: map[uint64]int{}, setUpTimes: map[uint64][]time.Time{}, listener: b.listen()}
 	o.member = member{ID: id, Addr: o.listener.Addr().String(), Locality: "east", Flavor: "std", Cell: cell, Phase: "SERVING", Size: 4}
-	go func() {
-		for {
-			conn, err := o.listener.Accept()
-			if err != nil {
-				return
-			}
-			o.mu.Lock()
-			serving := o.latest()
-			o.mu.Unlock()
-			go serving.serve(conn)
-		}
-	}()
+	go o.accept()
 	return o
 }
 
+// accept serves connections until the listener is closed.
+func (o *remoteOffice) accept() {
+	listener := o.listener
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		o.mu.Lock()
+		serving := o.latest()
+		o.mu.Unlock()
+		go serving.serve(conn)
+	}
+}
+
 // latest returns the office that serves at the address now; o.mu is held.
 func (o *remoteOffice) latest() *remoteOffice {
 	if o.successor != nil {
