sip: a huge Content-Length no longer ends the call server

What callers saw: one message of any client with a Content-Length near the largest integer ended the process.

Cause: Framer.Next compared headerEnd+4+bodyLength with the limit of a message. The sum overflows for the largest lengths that parseHead takes and is negative then, so that neither limit held and the body was cut with a negative bound. A probe of the Framer: the largest int and all lengths tried down to 142 less panicked; 200, 16,000 and 17,000 less were refused with 513.

Change: the length is compared with what the header leaves of the limit, so that nothing overflows. Content-Length takes digits only (RFC 3261 section 20.14); -0 was taken as 0.

Tests of sip, callserver and node pass.

--- a/sip/sip.go
+++ b/sip/sip.go
@@ -17,6 +17,9 @@
 // maxHeaderFields limits the number of header fields of a message.
 const maxHeaderFields = 64
 
+// headerTerminator is the end of the last header field and the empty line that separates the header from the body.
+const headerTerminator = "\r\n\r\n"
+
 // Message is a request or, if Status is not 0, a response. Its strings and Body are copies, not parts of a read buffer.
 type Message struct {
 	Method string  // method of a request; for a response the method in its CSeq
@@ -75,12 +78,12 @@
 	for len(f.buffered) >= 2 && f.buffered[0] == '\r' && f.buffered[1] == '\n' { // keep-alives between messages (RFC 5626)
 		f.discard(2)
 	}
-	headerEnd := bytes.Index(f.buffered[f.searched:], []byte("\r\n\r\n"))
+	headerEnd := bytes.Index(f.buffered[f.searched:], []byte(headerTerminator))
 	if headerEnd < 0 {
 		if len(f.buffered) > MaxMessageBytes {
 			return nil, &Fault{Status: 513, Text: fmt.Sprintf("header exceeds %d bytes", MaxMessageBytes)}
 		}
-		f.searched = max(0, len(f.buffered)-3)
+		f.searched = max(0, len(f.buffered)-len(headerTerminator)+1)
 		return nil, nil
 	}
 	headerEnd += f.searched
@@ -92,14 +95,16 @@
 	if fault != nil {
 		return nil, fault
 	}
-	if headerEnd+4+bodyLength > MaxMessageBytes {
-		return nil, &Fault{Status: 513, Text: fmt.Sprintf("message of %d bytes is too large", headerEnd+4+bodyLength), Head: msg}
+	bodyStart := headerEnd + len(headerTerminator)
+	if bodyLength > MaxMessageBytes-bodyStart { // not bodyStart+bodyLength, which overflows for the largest lengths
+		return nil, &Fault{Status: 513, Text: fmt.Sprintf("body of %d bytes is too large", bodyLength), Head: msg}
 	}
-	if len(f.buffered) < headerEnd+4+bodyLength {
+	bodyEnd := bodyStart + bodyLength
+	if len(f.buffered) < bodyEnd {
 		return nil, nil
 	}
-	msg.Body = bytes.Clone(f.buffered[headerEnd+4 : headerEnd+4+bodyLength])
-	f.discard(headerEnd + 4 + bodyLength)
+	msg.Body = bytes.Clone(f.buffered[bodyStart:bodyEnd])
+	f.discard(bodyEnd)
 	return msg, nil
 }
 
@@ -140,8 +145,8 @@
 		msg.Fields = append(msg.Fields, Field{name, value})
 		switch {
 		case strings.EqualFold(name, "Content-Length"):
-			n, err := strconv.Atoi(value)
-			if err != nil || n < 0 || value[0] == '+' || contentLengthFields > 0 && n != contentLength {
+			n, ok := parseContentLength(value)
+			if !ok || contentLengthFields > 0 && n != contentLength {
 				return malformed(400, "invalid Content-Length: %.40q", value)
 			}
 			contentLength, contentLengthFields = n, contentLengthFields+1
@@ -163,6 +168,13 @@
 	return msg, contentLength, nil
 }
 
+// parseContentLength parses the value of a Content-Length field (RFC 3261 section 20.14), which has digits only and no sign. The
+// result may be any number that an int can hold.
+func parseContentLength(value string) (int, bool) {
+	n, err := strconv.ParseUint(value, 10, strconv.IntSize-1)
+	return int(n), err == nil
+}
+
 // parseFirstLine parses the first line and checks that the CSeq matches it. It returns a description of what is wrong, or "".
 func (m *Message) parseFirstLine(line string) string {
 	number, method, _ := strings.Cut(m.CSeq, " ")
--- a/sip/sip_test.go
+++ b/sip/sip_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"math"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -70,6 +72,57 @@
 	}
 }
 
+// Guards against a message that ends the process: the sum of the header's and the body's length overflowed for the largest lengths.
+func TestContentLengthAtItsBounds(t *testing.T) {
+	headerBytes := len(invite) - len("hello")
+	largestBody := MaxMessageBytes - headerBytes - len("16000") + len("5")
+	const complete, incomplete = 0, -1
+	for _, testCase := range []struct {
+		length string
+		want   int // status of the Fault, or complete or incomplete
+	}{
+		{"0", complete},
+		{"5", complete},
+		{"6", incomplete},
+		{strconv.Itoa(largestBody), incomplete},
+		{strconv.Itoa(largestBody + 1), 513},
+		{strconv.Itoa(MaxMessageBytes), 513},
+		{strconv.Itoa(math.MaxInt32), 513},
+		{strconv.FormatInt(math.MaxInt32+1, 10), 513},
+		{strconv.FormatInt(math.MaxUint32, 10), 513},
+		{strconv.Itoa(math.MaxInt - MaxMessageBytes), 513},
+		{strconv.Itoa(math.MaxInt - headerBytes), 513},
+		{strconv.Itoa(math.MaxInt - 1), 513},
+		{strconv.Itoa(math.MaxInt), 513},
+		{strconv.FormatUint(math.MaxInt64+1, 10), 400},
+		{strconv.FormatUint(math.MaxUint64, 10), 400},
+		{"-0", 400}, {"-1", 400}, {strconv.Itoa(math.MinInt), 400}, {"+5", 400}, {"0x5", 400}, {"5_0", 400}, {"5.0", 400}, {"", 400},
+	} {
+		for _, chunk := range []int{1, headerBytes, MaxMessageBytes} {
+			text := strings.Replace(invite, "Content-Length: 5", "Content-Length: "+testCase.length, 1)
+			var framer Framer
+			var msg *Message
+			var err error
+			for remaining := text; remaining != "" && msg == nil && err == nil; {
+				size := min(chunk, len(remaining))
+				framer.Write([]byte(remaining[:size]))
+				remaining = remaining[size:]
+				msg, err = framer.Next()
+			}
+			got := incomplete
+			var fault *Fault
+			if errors.As(err, &fault) {
+				got = fault.Status
+			} else if msg != nil {
+				got = complete
+			}
+			if got != testCase.want {
+				t.Errorf("Content-Length %q in chunks of %d: %d, not %d (%v, %v)", testCase.length, chunk, got, testCase.want, msg, err)
+			}
+		}
+	}
+}
+
 // A response repeats the header fields of its request, and a request that was written can be parsed.
 func TestResponseAndRequest(t *testing.T) {
 	var framer Framer
@@ -95,6 +148,9 @@
 func FuzzFramer(f *testing.F) {
 	f.Add([]byte(invite), uint8(7))
 	f.Add([]byte("SIP/2.0 200 OK\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n\r\n"), uint8(1))
+	for _, length := range []int{0, MaxMessageBytes, MaxMessageBytes + 1, math.MaxInt32, math.MaxInt, -1} {
+		f.Add([]byte(strings.Replace(invite, "Content-Length: 5", "Content-Length: "+strconv.Itoa(length), 1)), uint8(255))
+	}
 	f.Fuzz(func(t *testing.T, stream []byte, size uint8) {
 		var framer Framer
 		for len(stream) > 0 {
