logic: the work on a partition is bounded, whatever group an office reports

What callers would see: an office that reports a group of 10^9 circuits stops the event loop for good at the next update of partitions, so that no call gets an answer; 10^7 circuits stop it for 35 s, 10^6 for 3.6 s (a probe of the core with one group state).

Change: the recursion ends once its result is 0, as it stays 0 from there on. The work is bounded by the offered load; decisions are the same to the bit.

Tests of logic, callserver and liveness pass.

--- a/logic/partition.go
+++ b/logic/partition.go
@@ -18,10 +18,11 @@
 	width int
 }
 
-// erlangB is the blocking probability of a trunk group by the Erlang B formula, in its numerically stable recursive form.
+// erlangB is the blocking probability of a trunk group by the Erlang B formula, in its numerically stable recursive form. Once it
+// is 0 it stays 0, so that the work is bounded by the load, however many circuits an office reports.
 func erlangB(circuits int, erlangs float64) float64 {
 	blocking := 1.0
-	for i := 1; i <= circuits; i++ {
+	for i := 1; i <= circuits && blocking > 0; i++ {
 		blocking = erlangs * blocking / (float64(i) + erlangs*blocking)
 	}
 	return blocking
--- a/logic/partition_test.go
+++ b/logic/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 )
 
 // payoffByDirectSum computes the pay-off by the sums of Chen and Chen, without recursion.
@@ -94,6 +95,37 @@
 	}
 }
 
+// Guards against a report that stops the event loop: a partition was scored in time proportional to the circuits that an office
+// reports. The results are those of the whole recursion.
+func TestWorkIsBoundedForAnyReportedGroup(t *testing.T) {
+	for _, erlangs := range []float64{0, 1e-9, 0.3, 1, 37.5, 900} {
+		want := 1.0
+		for circuits := 1; circuits <= 5000; circuits++ {
+			want = erlangs * want / (float64(circuits) + erlangs*want)
+			if got := erlangB(circuits, erlangs); got != want {
+				t.Fatalf("%d circuits, %v erlangs: %v, not %v", circuits, erlangs, got, want)
+			}
+		}
+	}
+	const timeLimit = 10 * time.Second // without a bound the work takes minutes
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f := newManualFixture(t, nil)
+		for i := range 60 {
+			f.offerAndAwait(i%2, 1, "x")
+		}
+		f.controller.Report(f.host.now, Report{Office: "o1", OK: true, Load: []float64{maxReportValue, maxReportValue, -1}})
+		f.host.now += partitionInterval
+		f.controller.Timer(f.host.now, "p")
+	}()
+	select {
+	case <-done:
+	case <-time.After(timeLimit):
+		t.Fatalf("the periodic work takes over %v for a group of %v circuits", timeLimit, maxReportValue)
+	}
+}
+
 // Guards against a pay-off in which one reserved circuit carries half of a call of two circuits.
 func TestReservedCircuitsMustFitWholeCalls(t *testing.T) {
 	loads := []classLoad{{1, 3, 3, 2}, {4, 1, 1, 1}}
