callserver: group states that no group can have end no calls and no process

What callers saw, in a probe of the core: three adopted calls got a BYE each although they stood, after their office had reported "nan", "inf" or 1e300 circuits. A first group state without values ended the process with a nil pointer.

Cause: recordGroupState converted such values to an int, which gives a negative number of circuits in use, so that verifyCalls took the calls for lost; comparisons with NaN are false. handleOfficeMessage took the connection of the last group state for given whenever the load equals the last one, which is the empty text at first.

Change: states without both values, and values that are negative, too great or NaN, are skipped. isRepeatedGroupState says what a copy is and needs a last state.

Shown: TestUnusableGroupStatesAreSkipped fails before (nil pointer; "BYE" "BYE" "BYE") and passes now.

--- a/callserver/officeinput.go
+++ b/callserver/officeinput.go
@@ -67,10 +67,7 @@
 			return
 		}
 		conn.recordGroupState(s.cfg.Settings.ReportFields, load)
-		// A change is reported on each connection. Applying a copy that arrives after a new set-up would count the circuit that the
-		// set-up has just taken as free again.
-		if remote := conn.remote; msg.Load == remote.groupState && remote.groupStateConn != conn &&
-			s.officeConns[remote.groupStateConn.id] == remote.groupStateConn {
+		if s.isRepeatedGroupState(conn, msg.Load) {
 			return
 		}
 		conn.remote.groupState, conn.remote.groupStateConn = msg.Load, conn
@@ -81,6 +78,13 @@
 	}
 }
 
+// isRepeatedGroupState reports whether a group state is a copy of the last one. An office reports a change on each connection.
+// Applying a copy that arrives after a new set-up would count the circuit that the set-up has just taken as free again.
+func (s *Server) isRepeatedGroupState(conn *officeConn, load string) bool {
+	last := conn.remote.groupStateConn
+	return last != nil && last != conn && s.officeConns[last.id] == last && load == conn.remote.groupState
+}
+
 // handleAnswer handles an answer: the call is established if its caller still waits.
 func (s *Server) handleAnswer(conn *officeConn, msg *office.Message) {
 	call := conn.findAttempt(msg.Call)
--- a/callserver/supervision.go
+++ b/callserver/supervision.go
@@ -242,11 +242,17 @@
 	s.flushOfficeReleases(remote)
 }
 
-// recordGroupState keeps the circuits in use of the first group state that is reported on a connection.
+// maxReportedCircuits is the largest trunk group that is believed. It is far above any real one, and an int can hold it.
+const maxReportedCircuits = 1e9
+
+// recordGroupState keeps the circuits in use of the first group state that is reported on a connection. States without both
+// values, and values that are negative, too great or NaN, are skipped.
 func (c *officeConn) recordGroupState(fields []string, load []float64) {
 	spare, total := slices.Index(fields, "spare"), slices.Index(fields, "total")
-	if c.stateReported || spare < 0 || total < 0 || spare >= len(load) || total >= len(load) || load[spare] < 0 ||
-		load[total] < load[spare] {
+	if c.stateReported || spare < 0 || total < 0 || spare >= len(load) || total >= len(load) {
+		return
+	}
+	if valid := load[spare] >= 0 && load[total] >= load[spare] && load[total] <= maxReportedCircuits; !valid { // false for NaN, too
 		return
 	}
 	c.stateReported, c.circuitsInUse = true, int(load[total]-load[spare])
