callserver: a failed attempt of an ended call brings no second final answer

What callers would see: where attempts cannot be cancelled, a caller who has cancelled or has had its answer gets a 500 after it, if its attempt fails with cause 41 within 0.1 s of a dropped call; the count of open calls is one too few from then on.

Change: only calls that are still held are taken for that.

Shown: TestFailedAttemptOfAnEndedCallAmongDroppedCalls fails before (got ["BYE" "500"], want ["BYE"]) and passes now.

--- a/callserver/droppedcalls.go
+++ b/callserver/droppedcalls.go
@@ -12,7 +12,7 @@
 // the call and dropped it, and its answer may be lost. The release is taken for that if other calls were dropped within
 // liveness.DropWindow. The caller is then answered at once; another attempt would establish the call a second time.
 func (s *Server) setUpFailed(call *activeCall, conn *officeConn, outcome logic.Outcome) {
-	if s.recentDrops.Near(s.now) {
+	if s.holds(call) && s.recentDrops.Near(s.now) {
 		s.callEndedBeforeAnswer(call, conn, outcome.Load)
 		return
 	}
