callserver: a call's release goes to callers, and is kept until they have heard it

Cause: where no open connection had carried an established call, callerConnForRelease took the one with the latest lastUsed, which any INVITE set before it was read any further. What waited for callers went to the first client that sent any INVITE. A BYE counted as heard once it was written, and was repeated only on connections that had carried a call.

A release toward a caller is kept until it is responded to on a connection of callers or, where callers do not respond, has stayed on one for 1 s; else it goes on the next best connection after 0.35 s, on all that may be from callers after 0.7 s, and on those that turn out to be (callerreleases.go).

--- /dev/null
+++ b/callserver/callerreleases.go
@@ -0,0 +1,221 @@
+package callserver
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"finchlatch/liveness"
+	"finchlatch/sip"
+)
+
+// This file releases established calls toward their callers. A release that was written has not been heard yet: its connection may
+// have ended or be cut off, or may be that of an unknown client. It is kept until it counts as heard, and sent on other connections.
+
+// callerRelease is the release of an established call toward its caller.
+type callerRelease struct {
+	call         *activeCall
+	cause        byte
+	sentOn       []ConnID      // connections on which it was sent and not lost, the latest one last
+	firstSentAt  time.Duration // valid if it was sent
+	sentAt       time.Duration // when it was sent last
+	sentToCaller bool          // one of them is that of its set-up or claim, or one of known callers
+	confirmed    bool          // it was responded to on another connection
+}
+
+// Limits on releases toward callers.
+const (
+	// byeResponseTimeout is how long a caller may take to respond to a BYE before it is sent on another connection. A release must
+	// be passed on within 1 s, so there is time for two.
+	byeResponseTimeout = 350 * time.Millisecond
+	// releaseRepeatTimeout is how long a release is sent on ever more connections that was sent on those of callers without a response,
+	// although others were responded to, or that only a client responded to which may not be a caller.
+	releaseRepeatTimeout = liveness.EndReportLimit
+	maxReleaseCopies     = 16 // connections on which one release is sent, apart from those of known callers
+	maxCallerReleases    = 8192
+)
+
+// callerReleases holds the releases that do not count as heard yet, at most maxCallerReleases.
+type callerReleases struct {
+	byWireID map[uint64]*callerRelease
+	order    []*callerRelease // oldest first
+}
+
+// add keeps a release. It replaces an earlier one of the same call.
+func (c *callerReleases) add(r *callerRelease) {
+	if c.byWireID == nil {
+		c.byWireID = map[uint64]*callerRelease{}
+	}
+	c.remove(c.byWireID[r.call.wireID])
+	if len(c.order) >= maxCallerReleases {
+		c.remove(c.order[0])
+	}
+	c.byWireID[r.call.wireID] = r
+	c.order = append(c.order, r)
+}
+
+// remove drops a release; nil: it does nothing.
+func (c *callerReleases) remove(r *callerRelease) {
+	if r != nil && c.byWireID[r.call.wireID] == r {
+		delete(c.byWireID, r.call.wireID)
+		c.order = slices.DeleteFunc(c.order, func(other *callerRelease) bool { return other == r })
+	}
+}
+
+// waiting returns the number of releases that no connection could carry yet.
+func (c *callerReleases) waiting() (count int) {
+	for _, r := range c.order {
+		if len(r.sentOn) == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// releaseToCaller releases an established call toward its caller.
+func (s *Server) releaseToCaller(call *activeCall, cause byte) {
+	r := &callerRelease{call: call, cause: cause}
+	s.callerReleases.add(r)
+	if !s.sendOnBestConn(r) {
+		s.logWithHistory("release waits for a caller connection", call)
+	}
+}
+
+// sendOnBestConn sends a release on the best connection on which it was not sent yet, and reports whether there is one.
+func (s *Server) sendOnBestConn(r *callerRelease) bool {
+	conns := s.connsForRelease(r)
+	if len(conns) == 0 {
+		return false
+	}
+	s.sendCallerRelease(conns[0], r)
+	return true
+}
+
+// connsForRelease returns the connections on which a release may be sent and was not sent yet, the best one first: that of its
+// set-up or latest claim, then those with the highest rank, then those on which something has come since it was last sent, then
+// those that were used last.
+func (s *Server) connsForRelease(r *callerRelease) []*callerConn {
+	var conns []*callerConn
+	for _, caller := range s.callerConns {
+		eligible := caller == r.call.callerConn || caller.rank() > notCallers &&
+			(len(r.sentOn) < maxReleaseCopies || caller.rank() == knownCallers)
+		if eligible && !slices.Contains(r.sentOn, caller.id) {
+			conns = append(conns, caller)
+		}
+	}
+	slices.SortFunc(conns, func(a, b *callerConn) int {
+		return cmp.Or(compareBool(b == r.call.callerConn, a == r.call.callerConn), cmp.Compare(b.rank(), a.rank()),
+			compareBool(b.lastActivity > r.sentAt, a.lastActivity > r.sentAt), cmp.Compare(b.lastUsed, a.lastUsed), cmp.Compare(b.id, a.id))
+	})
+	return conns
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// byeCSeq is the sequence number of a BYE, the only request sent toward the caller of a call.
+const byeCSeq = 2
+
+// sendCallerRelease writes a release on a connection.
+func (s *Server) sendCallerRelease(caller *callerConn, r *callerRelease) {
+	if len(r.sentOn) == 0 {
+		r.firstSentAt = s.now
+	}
+	r.sentOn, r.sentAt, r.sentToCaller = append(r.sentOn, caller.id), s.now, r.sentToCaller || s.isCallerOf(caller, r)
+	s.trace("to caller", "BYE", caller.remoteAddr, caller.id, r.call.callID, int(r.cause))
+	s.emit(Write{Conn: caller.id, Bytes: sip.Request(nil, "BYE", "sip:"+r.call.calledNumber+"@net", r.call.callID, byeCSeq, int(r.cause))})
+	s.armTimer(byeResponseTimeout, timer{kind: timerCheckCallerRelease, targetID: r.call.wireID})
+}
+
+// isCallerOf reports whether a connection is known to be from callers, those of a release among them.
+func (s *Server) isCallerOf(caller *callerConn, r *callerRelease) bool {
+	return caller == r.call.callerConn || caller.rank() == knownCallers
+}
+
+// checkCallerRelease is due byeResponseTimeout after a release was sent. If callers do not respond to BYE, the release counts as heard
+// once its connection has been up for connLossDelay; the end of a connection shows in this time. Otherwise it is sent on another
+// connection, and after that on all others.
+func (s *Server) checkCallerRelease(wireID uint64) {
+	r := s.callerReleases.byWireID[wireID]
+	if r == nil || len(r.sentOn) == 0 || s.now < r.sentAt+byeResponseTimeout {
+		return
+	}
+	switch {
+	case r.sentToCaller && r.confirmed,
+		r.sentToCaller && !s.byesAnswered && s.now >= r.sentAt+connLossDelay,
+		(r.sentToCaller || r.confirmed) && s.now >= r.firstSentAt+releaseRepeatTimeout:
+		s.callerReleases.remove(r)
+	case r.sentToCaller && !s.byesAnswered:
+		s.timers.Arm(r.sentAt+connLossDelay, timer{kind: timerCheckCallerRelease, targetID: wireID})
+	default:
+		s.repeatCallerRelease(r)
+	}
+}
+
+// repeatCallerRelease sends a release on other connections. Without any, one that was confirmed or sent to callers is checked again. Any
+// other one waits for evidence that a connection is from callers.
+func (s *Server) repeatCallerRelease(r *callerRelease) {
+	conns := s.connsForRelease(r)
+	if len(r.sentOn) == 1 {
+		conns = conns[:min(1, len(conns))]
+	}
+	for _, caller := range conns {
+		s.sendCallerRelease(caller, r)
+	}
+	if len(conns) == 0 && (r.confirmed || r.sentToCaller) {
+		s.armTimer(byeResponseTimeout, timer{kind: timerCheckCallerRelease, targetID: r.call.wireID})
+	}
+}
+
+// handleByeResponse handles the response to a BYE. On a connection that is not known to be from callers it does not show that they have
+// heard it: any client may respond.
+func (s *Server) handleByeResponse(caller *callerConn, wireID uint64, status int) {
+	r := s.callerReleases.byWireID[wireID]
+	switch {
+	case r == nil || !slices.Contains(r.sentOn, caller.id) || status < 200:
+	case s.isCallerOf(caller, r):
+		s.byesAnswered = true
+		s.callerReleases.remove(r)
+	case status < 300:
+		r.confirmed = true
+	}
+}
+
+// sendWaitingCallerReleases sends the releases on a connection that were not sent to known callers yet, as there is new evidence that
+// it is from callers.
+func (s *Server) sendWaitingCallerReleases(caller *callerConn) {
+	for _, r := range slices.Clone(s.callerReleases.order) {
+		switch known := caller.rank() == knownCallers; {
+		case r.sentToCaller:
+		case slices.Contains(r.sentOn, caller.id) && known:
+			r.sentToCaller = true
+			s.armTimer(0, timer{kind: timerCheckCallerRelease, targetID: r.call.wireID})
+		case !slices.Contains(r.sentOn, caller.id) && (known || len(r.sentOn) < maxReleaseCopies):
+			s.sendCallerRelease(caller, r)
+		}
+	}
+}
+
+// resendLostCallerReleases sends the releases again that may be lost on a connection which has ended.
+func (s *Server) resendLostCallerReleases(caller *callerConn) {
+	for _, r := range slices.Clone(s.callerReleases.order) {
+		i := slices.Index(r.sentOn, caller.id)
+		if i < 0 || i < len(r.sentOn)-1 || s.now > r.sentAt+connLossDelay {
+			continue
+		}
+		r.sentOn, r.confirmed = r.sentOn[:i], false
+		r.sentToCaller = slices.ContainsFunc(r.sentOn, func(id ConnID) bool {
+			other := s.callerConns[id]
+			return other != nil && s.isCallerOf(other, r)
+		})
+		s.sendOnBestConn(r)
+	}
+}
--- a/callserver/callers.go
+++ b/callserver/callers.go
@@ -2,140 +2,16 @@
 
 import (
 	"bytes"
-	"cmp"
 	"errors"
 	"log/slog"
 	"strconv"
 	"strings"
-	"time"
 
 	"finchlatch/logic"
 	"finchlatch/office"
 	"finchlatch/sip"
 )
 
-// callerConn is one connection from callers. Unknown clients may open one, too.
-type callerConn struct {
-	id                 ConnID
-	remoteAddr         string
-	framer             sip.Framer
-	openCalls          int // without a final answer
-	acceptedAt         time.Duration
-	lastUsed           time.Duration // last INVITE, valid or not, or end of an open call; 0: no message yet; usedWithoutCall: others only
-	carriedEstablished bool          // a call on it was established, or an established call was claimed on it
-	unfinishedSince    time.Duration // since when the last message received is incomplete; 0: it is complete
-	unansweredByes     unacknowledgedReleases
-	lastActivity       time.Duration // when bytes were last received
-}
-
-// Limits on connections from callers and on the syntax of their messages. None of them limits the number of calls.
-const (
-	callerMessageTimeout = 2 * time.Second // for the first complete message, and for the rest of one that has begun
-	// callerRecheckDelay is the time between checks of a connection whose message is overdue while it carries open calls.
-	callerRecheckDelay = 50 * time.Millisecond
-	// firstMessageGrace is how long a new connection may stay without a message before it is among the first to be evicted.
-	// Until then it ranks above connections that have carried messages but no INVITE.
-	firstMessageGrace = 100 * time.Millisecond
-	legValueLimit     = 1 << 16 // exchange numbers and widths are less than this
-)
-
-// usedWithoutCall is the value of callerConn.lastUsed on a connection that has carried messages but no INVITE.
-const usedWithoutCall time.Duration = 1
-
-// callerAccepted registers a new connection. Above the limit, the one that ranks lowest is closed, or the new one itself if
-// all others carry open calls.
-func (s *Server) callerAccepted(id ConnID, remoteAddr string) {
-	caller := &callerConn{id: id, remoteAddr: remoteAddr, acceptedAt: s.now}
-	s.callerConns[id] = caller
-	s.armTimer(callerMessageTimeout, timer{kind: timerCheckCallerConn, targetID: uint64(id)})
-	if len(s.callerConns) > s.cfg.MaxCallerConns {
-		evicted := s.evictionCandidate(caller)
-		if evicted == nil {
-			evicted = caller
-		}
-		s.closeCallerConn(evicted, "too many connections")
-	}
-}
-
-// evictionCandidate returns the connection to close in favour of a new one: the lowest rank, then the longest time without a
-// call. Connections with open calls and the new one, which has had no time to send anything, are not considered.
-func (s *Server) evictionCandidate(newest *callerConn) *callerConn {
-	var candidate *callerConn
-	for _, caller := range s.callerConns {
-		if caller.openCalls > 0 || caller == newest {
-			continue
-		}
-		if candidate == nil || cmp.Or(cmp.Compare(s.evictionRank(caller), s.evictionRank(candidate)),
-			cmp.Compare(max(caller.lastUsed, caller.acceptedAt), max(candidate.lastUsed, candidate.acceptedAt)),
-			cmp.Compare(caller.id, candidate.id)) < 0 {
-			candidate = caller
-		}
-	}
-	return candidate
-}
-
-// evictionRank ranks connections without open calls; the lowest is closed first. Without it, unknown clients that send only
-// OPTIONS on ever new connections would push out connections that carried established calls, and a release would find no
-// caller connection to be sent on.
-func (s *Server) evictionRank(caller *callerConn) int {
-	switch {
-	case caller.carriedEstablished:
-		return 4
-	case caller.lastUsed > usedWithoutCall: // it has carried an INVITE
-		return 3
-	case caller.lastUsed == 0 && s.now-caller.acceptedAt < firstMessageGrace:
-		return 2
-	case caller.lastUsed > 0: // it has carried other messages only
-		return 1
-	}
-	return 0
-}
-
-// checkCallerConn closes a connection that has sent nothing or has not completed a message in time.
-func (s *Server) checkCallerConn(id ConnID) {
-	caller := s.callerConns[id]
-	if caller == nil {
-		return
-	}
-	switch {
-	case caller.lastUsed == 0 && caller.unfinishedSince == 0:
-		s.closeCallerConn(caller, "no message received")
-	// The connection is not closed before its open calls are answered: other callers may have sent them on it than the one whose
-	// message is incomplete.
-	case caller.unfinishedSince > 0 && s.now-caller.unfinishedSince >= callerMessageTimeout && caller.openCalls > 0:
-		s.armTimer(callerRecheckDelay, timer{kind: timerCheckCallerConn, targetID: uint64(id)})
-	case caller.unfinishedSince > 0 && s.now-caller.unfinishedSince >= callerMessageTimeout:
-		s.closeCallerConn(caller, "message not completed")
-	case caller.unfinishedSince > 0:
-		s.timers.Arm(caller.unfinishedSince+callerMessageTimeout, timer{kind: timerCheckCallerConn, targetID: uint64(id)})
-	}
-}
-
-// closeCallerConn closes a connection and ends the open calls on it.
-func (s *Server) closeCallerConn(caller *callerConn, why string) {
-	s.log(slog.LevelDebug, "caller's connection closed", slog.String("from", caller.remoteAddr), slog.String("why", why))
-	s.emit(Close{Conn: caller.id})
-	s.callerConnEnded(caller)
-}
-
-// callerConnEnded ends the open calls of a connection. Established calls belong to no connection. Releases that may be lost
-// with it are sent again on another one.
-func (s *Server) callerConnEnded(caller *callerConn) {
-	delete(s.callerConns, caller.id)
-	for _, r := range caller.unansweredByes.takeLost(s.now) {
-		s.releaseToCaller(r.call, r.cause)
-	}
-	if caller.openCalls == 0 {
-		return
-	}
-	for _, call := range s.callsInOrder() {
-		if call.callerConn == caller && call.state == callSettingUp {
-			call.callerConnLost = true
-			s.callerHungUp(call)
-		}
-	}
-}
-
 // receiveFromCaller handles bytes of a caller.
 func (s *Server) receiveFromCaller(caller *callerConn, data []byte) {
 	caller.lastActivity = s.now
@@ -179,19 +55,16 @@
 
 // handleCallerMessage handles one message of a caller.
 func (s *Server) handleCallerMessage(caller *callerConn, msg *sip.Message) {
-	caller.lastUsed = max(caller.lastUsed, usedWithoutCall) // an INVITE sets it to the present time below
+	caller.receivedMessage = true
 	s.trace("from caller", msg.Method, caller.remoteAddr, caller.id, msg.CallID, msg.Status)
 	if msg.Status > 0 { // the response to a BYE
 		if id, err := parseCallID(msg.CallID); err == nil {
-			caller.unansweredByes.acknowledge(id)
-			s.byesAnswered = true
+			s.handleByeResponse(caller, id, msg.Status)
 		}
 		return
 	}
 	switch msg.Method {
 	case "INVITE":
-		caller.lastUsed = s.now
-		s.flushCallerReleases() // not on other messages: a client that only connects or sends OPTIONS may not be a caller
 		s.handleInvite(caller, msg)
 	case "ACK", "NOTIFY": // not answered
 	case "CANCEL":
@@ -236,7 +109,19 @@
 		s.handleReusedCallID(caller, ended, invite)
 		return
 	}
-	s.offerCall(caller, invite, nil)
+	s.takeSetUp(caller, invite, nil)
+}
+
+// takeSetUp offers a set-up, which shows that its connection is from callers if its class exists. ended is an ended call with the same
+// ID, or nil.
+func (s *Server) takeSetUp(caller *callerConn, invite invitation, ended *endedCall) {
+	if invite.classIndex >= 0 {
+		caller.lastUsed = s.now
+		s.recordEvidence(caller, sentSetUp)
+	} else {
+		caller.misbehaved = true
+	}
+	s.offerCall(caller, invite, ended)
 }
 
 // handleReusedCallID handles a set-up with the ID of a call that is over and that an office knows. It is refused, unless the
@@ -247,7 +132,7 @@
 	case !ended.mayComeAgain:
 		s.rejectMessage(caller, invite.msg, 482, "Call-ID was used before")
 	case ended.call == nil:
-		s.offerCall(caller, invite, ended)
+		s.takeSetUp(caller, invite, ended)
 	case ended.call.releaseSent:
 		s.afterWritten = append(s.afterWritten, func() {
 			if s.callerConns[caller.id] == caller {
@@ -275,9 +160,10 @@
 }
 
 // rejectMessage answers a well-formed message with invalid content. The connection stays open if it carries open calls or
-// has carried an established one, as those may be of other callers; otherwise it is closed.
+// has carried established or claimed ones, as those may be of other callers; otherwise it is closed.
 func (s *Server) rejectMessage(caller *callerConn, msg *sip.Message, status int, why string) {
-	if caller.openCalls == 0 && !caller.carriedEstablished {
+	caller.misbehaved = true
+	if caller.openCalls == 0 && caller.evidence < carriedCall && !caller.claimedCalls {
 		s.rejectAndClose(caller, &sip.Fault{Status: status, Text: why, Head: msg})
 		return
 	}
--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -178,8 +178,9 @@
 	call.state, call.awaitsOutcome, call.answeredAt = callEstablished, true, s.now
 	call.callerConn.openCalls--
 	s.openCalls--
-	call.callerConn.lastUsed, call.callerConn.carriedEstablished = s.now, true
+	call.callerConn.lastUsed = s.now
 	s.respond(call.callerConn, call.inviteHead, 200, 0, msg.Description)
+	s.recordEvidence(call.callerConn, carriedCall)
 	call.inviteHead, call.description = sip.Head{}, nil
 	s.addEstablished(call.remote)
 	call.remote.counts.established++
@@ -298,10 +299,11 @@
 // adoptCall registers a call that an earlier process has established and that its caller claims: a caller that has reconnected
 // sends an INVITE with the ID of the office at which the call is established (see parseLegs), which is not answered.
 func (s *Server) adoptCall(caller *callerConn, invite invitation) {
-	caller.lastUsed, caller.carriedEstablished = s.now, true
+	caller.lastUsed, caller.claimedCalls = s.now, true
 	if existing := s.callsByWireID[invite.wireID]; existing != nil {
 		if existing.state == callEstablished {
 			existing.callerConn = caller
+			s.recordEvidence(caller, carriedCall)
 		}
 		return
 	}
@@ -326,6 +328,7 @@
 	} else {
 		s.addEstablished(call.remote)
 		s.markAdoptedUnverified(call.remote)
+		s.recordEvidence(caller, sentSetUp)
 	}
 	if cause, ended := s.unclaimed.take(invite.wireID); ended {
 		s.endEstablished(call, logic.Reset, cause, nil, "released by its office before its caller claimed it")
--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -72,7 +72,7 @@
 	adoptedCalls       int                      // established calls of an earlier process that callers have claimed
 	offices            map[string]*remoteOffice // by ID
 	healthChecks       map[uint64]*healthCheck  // outstanding ones, by the ID in their message
-	pendingReleases    []release                // no caller connection could carry them yet
+	callerReleases     callerReleases           // toward callers, until they count as heard
 	position           uint64                   // in the stream of service discovery events
 	startedAt          time.Duration
 	discoveryChangedAt time.Duration // when service discovery last reported a change
@@ -100,7 +100,7 @@
 	kind           timerKind
 	controllerMark string // given by the Controller
 	targetID       uint64 // a ConnID, the Controller's ID or the wire ID of a call, or the ID of a health check
-	arg            int    // attempt number, count of messages, or ID of a caller connection
+	arg            int    // attempt number or count of messages
 	officeID       string
 }
 
@@ -119,7 +119,7 @@
 	timerHealthCheckTimeout                  // an office should have answered a health check
 	timerCheckLiveness                       // run the failure detector of an office
 	timerVerifyCalls                         // compare the calls of an office with its circuits in use
-	timerRepeatBye                           // a caller should have responded to a BYE
+	timerCheckCallerRelease                  // a caller should have responded to a BYE
 	timerSuccessorTimeout                    // service discovery should have listed a successor of an office that is gone
 	timerCheckAdopted                        // service discovery should have listed the office of an adopted call
 )
@@ -284,8 +284,8 @@
 		s.checkLiveness(t.officeID)
 	case timerVerifyCalls:
 		s.verifyCalls(t.officeID)
-	case timerRepeatBye:
-		s.repeatBye(ConnID(t.arg), t.targetID)
+	case timerCheckCallerRelease:
+		s.checkCallerRelease(t.targetID)
 	case timerSuccessorTimeout:
 		s.successorTimedOut(t.officeID)
 	case timerCheckAdopted:
--- a/callserver/discovery.go
+++ b/callserver/discovery.go
@@ -218,7 +218,7 @@
 		slog.Uint64("hung_up", totals.HungUp), slog.Uint64("departed", totals.SentAfterHangUp),
 		slog.Duration("list_age", s.now-s.discoveryChangedAt),
 		slog.Uint64("unreadable", totals.RejectedMessages), slog.Int("open", open),
-		slog.Int("standing", established), slog.Int("pending_releases", len(s.pendingReleases)),
+		slog.Int("standing", established), slog.Int("pending_releases", s.callerReleases.waiting()),
 		slog.Int("callers", len(s.callerConns)), slog.Int("offices", len(s.officeConns)))
 	for _, remote := range s.sortedOffices() {
 		s.logCounts(remote)
--- a/callserver/officeinput.go
+++ b/callserver/officeinput.go
@@ -150,6 +150,9 @@
 	if status, ok := statusByCause[msg.Cause]; ok && msg.HasCause {
 		outcome.Status = status
 	}
+	if outcome.Note != 0 {
+		s.recordEvidence(call.callerConn, sentUsableSetUp)
+	}
 	if outcome.Status == logic.Reset && msg.Cause == office.CauseTemporary {
 		s.setUpFailed(call, conn, outcome)
 		return
