callserver: a claim of impossible width has no adopted calls dropped

What callers would see: after a restart of the call server, one INVITE of an unknown client with "width:30;at:s-1" has all calls that callers named at that office ended, with BYE to the callers and releases to the office.

Cause: verifyCalls compares the circuits of claimed calls with those that the office has in use; the width of a claim is taken as it comes, up to 65,535.

Change: a claim counts for no more circuits than a call of any class takes.

Shown: TestClaimOfImpossibleWidthDropsNoCalls fails before (got ["BYE" "BYE" "BYE"]) and passes now.

--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -318,7 +318,7 @@
 	}
 	s.adoptedCalls++
 	call := &activeCall{wireID: invite.wireID, callID: invite.msg.CallID, callerConn: caller, state: callEstablished,
-		className: invite.className, calledNumber: invite.calledNumber, width: invite.offer.Width}
+		className: invite.className, calledNumber: invite.calledNumber, width: min(invite.offer.Width, s.maxCallWidth())}
 	s.callsByWireID[call.wireID] = call
 	call.remote = s.offices[invite.officeID]
 	if call.remote == nil {
@@ -339,6 +339,11 @@
 	}
 }
 
+// maxCallWidth returns the greatest number of circuits that a call of any class takes.
+func (s *Server) maxCallWidth() int {
+	return slices.MaxFunc(s.cfg.Settings.Classes, func(a, b logic.Class) int { return cmp.Compare(a.Width, b.Width) }).Width
+}
+
 // adoptedOfficeTimeout is how long service discovery may take to list the office of an adopted call.
 const adoptedOfficeTimeout = 5 * time.Second
 
--- a/callserver/supervision_test.go
+++ b/callserver/supervision_test.go
@@ -316,6 +316,22 @@
 	}
 }
 
+// Guards against one claim of an unknown client that has the adopted calls of an office dropped: a call of 65,535 circuits is not missing
+// at an office that has fewer in use.
+func TestClaimOfImpossibleWidthDropsNoCalls(t *testing.T) {
+	for _, width := range []int{30, 65535} {
+		h := newHarness(t, nil)
+		caller, client := h.acceptCaller(), h.acceptCaller()
+		for id := uint64(7); id < 10; id++ {
+			h.callerSends(caller, invite(id, "dest:1;width:1;at:s-1"))
+		}
+		h.callerSends(client, invite(100, fmt.Sprintf("dest:1;width:%d;at:s-1", width)))
+		h.connectWithLoad("10.0.0.1:5080", "spare:27;total:30")
+		h.advance(3 * time.Second)
+		requireMessages(t, "messages to the caller", h.takeCallerMessages(caller))
+	}
+}
+
 // Adopted calls at an office that was never reached are dropped early, those at an office that is alive are kept.
 func TestACallAtAnOfficeThatWasNeverReached(t *testing.T) {
 	h := newHarness(t, nil)
