callserver: a claim is evidence of callers once its office is listed

Cause: after a restart with late service discovery, callers claim calls at offices that are not listed yet; such a claim is no evidence, and stayed none once the office was listed, so that releases of other calls waited on.

Change: checkAdopted records the evidence when it attaches the call to its office.

Shown: TestClaimCountsOnceItsOfficeIsListed (0 BYE once the office is listed, without it).

--- a/callserver/callerreleases_test.go
+++ b/callserver/callerreleases_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"finchlatch/feed"
 	"finchlatch/office"
 )
 
@@ -279,6 +280,23 @@
 	}
 }
 
+// After a restart callers may claim a call at an office that service discovery lists later. Their connection counts from then on.
+func TestClaimCountsOnceItsOfficeIsListed(t *testing.T) {
+	h, conn := newHarnessForReleases(t)
+	h.officeSends(conn, releaseMsg(7, office.CauseNormal, ""))
+	caller := h.acceptCaller()
+	h.callerSends(caller, invite(9, "dest:1;width:1;at:s-9"))
+	h.advance(time.Second)
+	if n := h.countByes(caller); n != 0 {
+		t.Errorf("%d BYE before the office is listed", n)
+	}
+	h.apply(Input{Kind: InDiscovery, Events: []feed.Event{discoveryEvent(2, false, member("s-9", 1, feed.Serving))}})
+	h.advance(adoptedOfficeTimeout)
+	if n := h.countByes(caller); n != 1 {
+		t.Errorf("%d BYE once the office is listed", n)
+	}
+}
+
 // Connections of unknown clients are closed before those of callers when there are too many: set-ups that are refused for their class
 // counted as calls.
 func TestUnknownClientsDoNotEvictCallers(t *testing.T) {
--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -357,6 +357,7 @@
 	if remote := s.offices[call.remote.id]; remote != nil {
 		call.remote = remote
 		s.addEstablished(remote)
+		s.recordEvidence(call.callerConn, sentSetUp)
 		return
 	}
 	s.endEstablished(call, logic.Reset, office.CauseTemporary, nil, "adopted at an office that service discovery does not list")
