callserver: tests by subject, with their fixtures in one file

Change: the fixtures are in harness_test.go and the tests beside the files that they test. Nothing but import lines was changed: the sorted lines of all test files are the same before and after, and so are the names of the tests.

--- a/callserver/callerreleases_test.go
+++ b/callserver/callerreleases_test.go
@@ -324,3 +324,17 @@
 		t.Errorf("%d releases are kept, the oldest one among them: %v", n, h.server.callerReleases.byWireID[1000] != nil)
 	}
 }
+
+func TestReleaseWaitsForAConnectionFromCallers(t *testing.T) {
+	h := newHarness(t, nil)
+	h.connect("10.0.0.1:5080")
+	caller := h.acceptCaller()
+	h.callerSends(caller, invite(7, "dest:1;width:1"))
+	conn, _ := h.takeSetUp(7)
+	h.officeSends(conn, answerMsg(7))
+	h.apply(Input{Kind: InClosed, Conn: caller})
+	h.officeSends(conn, releaseMsg(7, office.CauseTemporary, ""))
+	otherCaller := h.acceptCaller()
+	h.callerSends(otherCaller, invite(9, "dest:9;width:1"))
+	requireMessages(t, "messages on the next connection", h.takeCallerMessages(otherCaller), "BYE", "503")
+}
--- a/callserver/hangup_test.go
+++ b/callserver/hangup_test.go
@@ -96,3 +96,114 @@
 		}
 	}
 }
+
+// A caller hangs up at each stage of its call, by CANCEL or by closing its connection, during the stage and after it is over:
+// nothing is sent for the call from then on, and an outstanding attempt is released.
+func TestHangUpsAtEveryStage(t *testing.T) {
+	hangUps := map[string]func(h *harness, caller ConnID){
+		"CANCEL":            func(h *harness, caller ConnID) { h.callerSends(caller, request("CANCEL", 7)) },
+		"connection closed": func(h *harness, caller ConnID) { h.apply(Input{Kind: InClosed, Conn: caller}) },
+	}
+	stages := map[string]struct {
+		enter, finish func(h *harness) // bring the call into the stage and out of it
+		outstanding   bool             // an attempt is outstanding during the stage
+	}{
+		"waiting for a connection": {enter: func(*harness) {}, finish: func(h *harness) { h.connect("10.0.0.1:5080") }},
+		"waiting for the release time": {enter: func(h *harness) {
+			h.connect("10.0.0.1:5080")
+			h.officeSends(h.server.callsByWireID[7].conn.id, releaseMsg(7, office.CauseTemporary, ""))
+		}, finish: func(h *harness) { h.advance(300 * time.Millisecond) }},
+		"attempt outstanding": {enter: func(h *harness) { h.connect("10.0.0.1:5080") }, finish: func(h *harness) {
+			h.officeSends(h.server.callsByWireID[7].conn.id, answerMsg(7))
+		}, outstanding: true},
+		"refused for lack of circuits": {enter: func(h *harness) {
+			h.connect("10.0.0.1:5080")
+			h.officeSends(h.server.callsByWireID[7].conn.id, releaseMsg(7, office.CauseNoCircuit, "blocked"))
+		}, finish: func(h *harness) { h.advance(time.Second) }},
+	}
+	countMessages := func(h *harness, msgType office.Type) (count int) {
+		for conn := range h.server.officeConns {
+			for _, msg := range h.takeOfficeMessages(conn) {
+				if msg.Type == msgType && msg.Call == 7 {
+					count++
+				}
+			}
+		}
+		return count
+	}
+	for stageName, stage := range stages {
+		for hangUpName, hangUp := range hangUps {
+			t.Run(stageName+", "+hangUpName, func(t *testing.T) {
+				h := newHarness(t, nil)
+				caller := h.acceptCaller()
+				h.callerSends(caller, invite(7, "dest:1;width:1"))
+				stage.enter(h)
+				countMessages(h, office.SetUp)
+				hangUp(h, caller)
+				if got := countMessages(h, office.Release); (got > 0) != stage.outstanding {
+					t.Errorf("%d releases sent", got)
+				}
+				if h.server.callsByWireID[7] != nil {
+					t.Fatal("the call has not been removed")
+				}
+				h.connect("10.0.0.1:5080")
+				h.advance(5 * time.Second)
+				h.connect("10.0.0.1:5080")
+				if got := countMessages(h, office.SetUp); got != 0 || len(h.server.callsByID) != 0 {
+					t.Errorf("%d set-ups after the caller hung up, %d calls not removed", got, len(h.server.callsByID))
+				}
+			})
+			t.Run(stageName+" is over, "+hangUpName, func(t *testing.T) {
+				h := newHarness(t, nil)
+				caller := h.acceptCaller()
+				h.callerSends(caller, invite(7, "dest:1;width:1"))
+				stage.enter(h)
+				stage.finish(h)
+				h.connect("10.0.0.1:5080")
+				countMessages(h, office.SetUp)
+				hangUp(h, caller)
+				if call := h.server.callsByWireID[7]; call != nil && (hangUpName == "CANCEL" || call.state != callEstablished) {
+					t.Fatal("the call has not been removed")
+				}
+				h.advance(5 * time.Second)
+				h.connect("10.0.0.1:5080")
+				if got := countMessages(h, office.SetUp); got != 0 {
+					t.Errorf("%d set-ups after the caller hung up", got)
+				}
+			})
+		}
+	}
+}
+
+// An attempt that started after its caller hung up is counted, even if the hang-up was handled after the start.
+func TestAttemptsStartedAfterTheHangUpAreCounted(t *testing.T) {
+	for name, tt := range map[string]struct {
+		waited time.Duration // how long the hang-up waited in this process
+		closes bool          // the caller closes its connection instead of sending CANCEL
+		want   uint64
+	}{
+		"CANCEL handled at once": {waited: time.Millisecond},
+		"CANCEL handled late":    {waited: 300 * time.Millisecond, want: 1},
+		"close handled at once":  {waited: time.Millisecond, closes: true},
+		"close handled late":     {waited: 300 * time.Millisecond, closes: true, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			h.connect("10.0.0.1:5080")
+			caller := h.acceptCaller()
+			h.callerSends(caller, invite(7, "dest:1;width:1"))
+			conn, _ := h.takeSetUp(7)
+			h.connect("10.0.0.1:5080")
+			h.officeSends(conn, releaseMsg(7, office.CauseTemporary, ""))
+			h.advance(250 * time.Millisecond) // the second attempt started 50 ms ago
+			input := Input{Kind: InReceive, Conn: caller, Bytes: []byte(request("CANCEL", 7)), Delay: tt.waited}
+			if tt.closes {
+				input.Kind, input.Bytes = InClosed, nil
+			}
+			h.apply(input)
+			if len(h.attempts) != 2 || h.server.totals.HungUp != 1 || h.server.totals.SentAfterHangUp != tt.want {
+				t.Errorf("%d attempts, %+v", len(h.attempts), h.server.totals)
+			}
+		})
+	}
+}
