callserver: one fixture for tests that begin with an outstanding attempt

Cause: 23 tests began with the same five lines, a Server with call 7 outstanding at s-1.

Change: newHarnessWithSetUp does these steps in this order; nothing that a test checks was changed.

Result: 80 lines fewer; go test -count=1 ./callserver passes.

--- a/callserver/attempts_test.go
+++ b/callserver/attempts_test.go
@@ -15,11 +15,7 @@
 func TestCallThatIsOverBeforeItsAnswerCame(t *testing.T) {
 	for name, wait := range map[string]time.Duration{"outstanding attempt": 0, "cancelled attempt": 100 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, nil)
-			h.connect("10.0.0.1:5080")
-			caller := h.acceptCaller()
-			h.callerSends(caller, invite(7, "dest:1;width:1"))
-			conn, _ := h.takeSetUp(7)
+			h, caller, conn := newHarnessWithSetUp(t, nil)
 			h.advance(700 * time.Millisecond)
 			for id := uint64(8); id < 11 && wait > 0; id++ { // three later calls are answered first: the attempt is cancelled
 				h.connect("10.0.0.1:5080")
@@ -50,11 +46,7 @@
 // An answer arrives after the release of its call, on the connection of the set-up. If that release were taken for a reset, the
 // call would be set up a second time; its caller must get the final answer at once.
 func TestCallThatIsOverOnItsConnectionBeforeItsAnswerCame(t *testing.T) {
-	h := newHarness(t, nil)
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, caller, conn := newHarnessWithSetUp(t, nil)
 	h.advance(700 * time.Millisecond)
 	h.officeSends(conn, releaseMsg(7, office.CauseNormal, ""))
 	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "500")
@@ -72,11 +64,7 @@
 // Rules 2 and 5, one attempt at a time and the release time between two: the end of an attempt is on the wire before the next
 // one starts, which waits for the release time, and a late answer to the first is not taken for one to the second.
 func TestLateAnswerOfAnEarlierAttempt(t *testing.T) {
-	h := newHarness(t, nil)
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, caller, conn := newHarnessWithSetUp(t, nil)
 	h.connect("10.0.0.1:5080")
 	h.officeSends(conn, releaseMsg(7, office.CauseTemporary, ""))
 	endedAt := h.now
@@ -121,11 +109,7 @@
 		"timed out, other cause":                      {after: 1100 * time.Millisecond, cause: office.CauseResource},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, nil)
-			h.connect("10.0.0.1:5080")
-			caller := h.acceptCaller()
-			h.callerSends(caller, invite(7, "dest:1;width:1"))
-			firstConn, _ := h.takeSetUp(7)
+			h, caller, firstConn := newHarnessWithSetUp(t, nil)
 			if tt.firstEnded {
 				h.officeSends(firstConn, releaseMsg(7, office.CauseTemporary, ""))
 			} else {
@@ -177,11 +161,7 @@
 // An attempt without an answer times out: its call gets a final answer, its office a release, and its connection is not used any
 // more. A CANCEL is accepted only on the connection of the set-up, and releases the attempt.
 func TestAttemptTimeoutAndCancel(t *testing.T) {
-	h := newHarness(t, nil)
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, caller, conn := newHarnessWithSetUp(t, nil)
 	h.advance(3100 * time.Millisecond)
 	if got := h.takeCallerMessages(caller); len(got) != 1 || got[0] == "200" {
 		t.Fatalf("messages to the caller whose office does not answer: %v", got)
@@ -233,11 +213,7 @@
 	for name, outcome := range outcomes {
 		for _, outcomeFirst := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, before the timeout %v", name, outcomeFirst), func(t *testing.T) {
-				h := newHarness(t, nil)
-				h.connect("10.0.0.1:5080")
-				caller := h.acceptCaller()
-				h.callerSends(caller, invite(7, "dest:1;width:1"))
-				conn, _ := h.takeSetUp(7)
+				h, caller, conn := newHarnessWithSetUp(t, nil)
 				h.withholdWritten = true
 				if outcomeFirst {
 					outcome.trigger(h, conn, caller)
@@ -284,11 +260,7 @@
 func TestReleaseTimeStartsWhenTheReleaseIsWritten(t *testing.T) {
 	for name, blocked := range map[string]bool{"written late": false, "writes blocked": true} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, nil)
-			h.connect("10.0.0.1:5080")
-			caller := h.acceptCaller()
-			h.callerSends(caller, invite(7, "dest:1;width:1"))
-			conn, _ := h.takeSetUp(7)
+			h, caller, conn := newHarnessWithSetUp(t, nil)
 			h.advance(700 * time.Millisecond)
 			h.withholdWritten = true
 			for id := uint64(8); id < 11; id++ { // three later calls are answered first: the attempt is cancelled
--- a/callserver/callerconns_test.go
+++ b/callserver/callerconns_test.go
@@ -41,11 +41,7 @@
 // Hundreds of connections a second that carry only OPTIONS requests must not evict those that carried calls: a release would find
 // no caller connection, and the caller would learn of it too late or never.
 func TestOptionsRequestsDoNotEvictConnectionsOfCalls(t *testing.T) {
-	h := newHarness(t, nil)
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, caller, conn := newHarnessWithSetUp(t, nil)
 	h.officeSends(conn, answerMsg(7))
 	requireMessages(t, "the answer", h.takeCallerMessages(caller), "200")
 	refusedCaller := h.acceptCaller()
--- a/callserver/callerreleases_test.go
+++ b/callserver/callerreleases_test.go
@@ -326,11 +326,7 @@
 }
 
 func TestReleaseWaitsForAConnectionFromCallers(t *testing.T) {
-	h := newHarness(t, nil)
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, caller, conn := newHarnessWithSetUp(t, nil)
 	h.officeSends(conn, answerMsg(7))
 	h.apply(Input{Kind: InClosed, Conn: caller})
 	h.officeSends(conn, releaseMsg(7, office.CauseTemporary, ""))
--- a/callserver/callers_test.go
+++ b/callserver/callers_test.go
@@ -11,11 +11,7 @@
 // A Call-ID in use is refused on another connection. On the same connection a copy of the INVITE is ignored as a retransmission,
 // and a different set-up ends the first one: both get one answer.
 func TestSetUpsWithTheSameCallID(t *testing.T) {
-	h := newHarness(t, nil)
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, caller, conn := newHarnessWithSetUp(t, nil)
 	h.callerSends(caller, invite(7, "dest:1;width:1")) // repeated
 	requireMessages(t, "response to a repeated INVITE", h.takeCallerMessages(caller))
 	otherCaller := h.acceptCaller()
--- a/callserver/discovery_test.go
+++ b/callserver/discovery_test.go
@@ -11,11 +11,7 @@
 // A new office at the address of one that is gone is another office: it holds none of the calls of the old one, whose connections
 // are not used for it. After a gap in the events, a snapshot replaces the known offices.
 func TestOfficesAreIdentifiedByIDNotByAddress(t *testing.T) {
-	h := newHarness(t, nil)
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, caller, conn := newHarnessWithSetUp(t, nil)
 	h.officeSends(conn, answerMsg(7))
 	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "200")
 	newMember := member("s-9", 1, feed.Serving) // at the address of s-1
--- a/callserver/endedcalls_test.go
+++ b/callserver/endedcalls_test.go
@@ -160,11 +160,7 @@
 		}, 0, "482"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, nil)
-			h.connect("10.0.0.1:5080")
-			caller := h.acceptCaller()
-			h.callerSends(caller, invite(7, "dest:1;width:1"))
-			conn, _ := h.takeSetUp(7)
+			h, caller, conn := newHarnessWithSetUp(t, nil)
 			tt.end(h, caller, conn)
 			h.advance(tt.wait)
 			other := h.acceptCaller()
@@ -199,11 +195,7 @@
 func TestSetUpThatIsSentAgain(t *testing.T) {
 	for _, sameBatch := range []bool{false, true} {
 		t.Run(fmt.Sprint("read in the batch of the end: ", sameBatch), func(t *testing.T) {
-			h := newHarness(t, nil)
-			h.connect("10.0.0.1:5080")
-			caller := h.acceptCaller()
-			h.callerSends(caller, invite(7, "dest:1;width:1"))
-			firstConn, _ := h.takeSetUp(7)
+			h, caller, firstConn := newHarnessWithSetUp(t, nil)
 			h.withholdWritten = sameBatch
 			h.apply(Input{Kind: InClosed, Conn: caller})
 			newCaller := h.acceptCaller()
@@ -238,11 +230,7 @@
 // Where attempts cannot be cancelled, the attempt of a caller who has left is outstanding until it ends. No other attempt with its
 // ID starts before that (rule 2).
 func TestReusedCallIDWhileAnAttemptIsOutstanding(t *testing.T) {
-	h := newHarness(t, func(cfg *Config) { cfg.Settings.CanCancel = false })
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	firstConn, _ := h.takeSetUp(7)
+	h, caller, firstConn := newHarnessWithSetUp(t, func(cfg *Config) { cfg.Settings.CanCancel = false })
 	h.apply(Input{Kind: InClosed, Conn: caller})
 	newCaller := h.acceptCaller()
 	h.callerSends(newCaller, invite(7, "dest:1;width:1"))
--- a/callserver/hangup_test.go
+++ b/callserver/hangup_test.go
@@ -188,11 +188,7 @@
 		"close handled late":     {waited: 300 * time.Millisecond, closes: true, want: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, nil)
-			h.connect("10.0.0.1:5080")
-			caller := h.acceptCaller()
-			h.callerSends(caller, invite(7, "dest:1;width:1"))
-			conn, _ := h.takeSetUp(7)
+			h, caller, conn := newHarnessWithSetUp(t, nil)
 			h.connect("10.0.0.1:5080")
 			h.officeSends(conn, releaseMsg(7, office.CauseTemporary, ""))
 			h.advance(250 * time.Millisecond) // the second attempt started 50 ms ago
--- a/callserver/harness_test.go
+++ b/callserver/harness_test.go
@@ -72,6 +72,18 @@
 	return h
 }
 
+// newHarnessWithSetUp starts a Server with an outstanding attempt of call 7 at s-1. It returns the connection of the caller and that of
+// the attempt.
+func newHarnessWithSetUp(t *testing.T, configure func(*Config)) (h *harness, caller, conn ConnID) {
+	t.Helper()
+	h = newHarness(t, configure)
+	h.connect("10.0.0.1:5080")
+	caller = h.acceptCaller()
+	h.callerSends(caller, invite(7, "dest:1;width:1"))
+	conn, _ = h.takeSetUp(7)
+	return h, caller, conn
+}
+
 // collectEffects records the effects that the Server has emitted. An error in the log fails the test.
 func (h *harness) collectEffects() {
 	h.t.Helper()
--- a/callserver/officeinput_test.go
+++ b/callserver/officeinput_test.go
@@ -71,11 +71,7 @@
 		"no session description": {0, 9, 9, 0, 0, 0, 0, 0, 0, 0, 7},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, nil)
-			h.connect("10.0.0.1:5080")
-			caller := h.acceptCaller()
-			h.callerSends(caller, invite(7, "dest:1;width:1"))
-			conn, _ := h.takeSetUp(7)
+			h, caller, conn := newHarnessWithSetUp(t, nil)
 			h.apply(Input{Kind: InReceive, Conn: conn, Bytes: data})
 			if closing, ok := h.closed[conn]; !ok || !closing.Now {
 				t.Fatal("the connection stays open")
@@ -86,11 +82,7 @@
 			}
 		})
 	}
-	h := newHarness(t, nil)
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, _, conn := newHarnessWithSetUp(t, nil)
 	data, err := office.Append(nil, valid)
 	if err != nil {
 		t.Fatal(err)
--- a/callserver/officereleases_test.go
+++ b/callserver/officereleases_test.go
@@ -64,11 +64,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, nil)
-			h.connect("10.0.0.1:5080")
-			caller := h.acceptCaller()
-			h.callerSends(caller, invite(7, "dest:1;width:1"))
-			conn, _ := h.takeSetUp(7)
+			h, caller, conn := newHarnessWithSetUp(t, nil)
 			h.connect("10.0.0.1:5080")
 			h.officeSends(conn, answerMsg(7))
 			requireMessages(t, "answer to the call", h.takeCallerMessages(caller), "200")
@@ -104,11 +100,7 @@
 // repeat on others. The release must be read. Half-closed connections that their offices do not close are closed after a time,
 // and their number is limited.
 func TestAReleaseThatCrossesTheEndOfItsConnection(t *testing.T) {
-	h := newHarness(t, func(cfg *Config) { cfg.MaxOfficeConns = 40 })
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, caller, conn := newHarnessWithSetUp(t, func(cfg *Config) { cfg.MaxOfficeConns = 40 })
 	h.connect("10.0.0.1:5080")
 	h.officeSends(conn, answerMsg(7))
 	h.callerSends(caller, invite(8, "dest:1;width:1")) // on the oldest idle connection
@@ -167,11 +159,7 @@
 
 // An office at whose end the connection of the set-up has ended, unnoticed here, releases the call on any other open connection.
 func TestReleaseOnAnotherConnectionOfTheOffice(t *testing.T) {
-	h := newHarness(t, nil)
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, caller, conn := newHarnessWithSetUp(t, nil)
 	h.officeSends(conn, answerMsg(7))
 	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "200")
 	otherConn := h.connect("10.0.0.2:5080")
--- a/callserver/supervision_test.go
+++ b/callserver/supervision_test.go
@@ -416,11 +416,7 @@
 // Where attempts cannot be cancelled, one goes on after the final answer of its call. Its answer must not reach the caller as a
 // second final answer, and the call is released at the office.
 func TestAnAnswerAfterTheFinalAnswer(t *testing.T) {
-	h := newHarness(t, func(cfg *Config) { cfg.Settings.CanCancel = false })
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, caller, conn := newHarnessWithSetUp(t, func(cfg *Config) { cfg.Settings.CanCancel = false })
 	h.callerSends(caller, request("CANCEL", 7))
 	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "200")
 	h.officeSends(conn, answerMsg(7))
@@ -435,11 +431,7 @@
 
 // A connection with an unfinished message is overdue to be closed, but an open call on it must be answered first.
 func TestUnfinishedMessageOnAConnectionWithAnOpenCall(t *testing.T) {
-	h := newHarness(t, nil)
-	h.connect("10.0.0.1:5080")
-	caller := h.acceptCaller()
-	h.callerSends(caller, invite(7, "dest:1;width:1"))
-	conn, _ := h.takeSetUp(7)
+	h, caller, conn := newHarnessWithSetUp(t, nil)
 	h.callerSends(caller, "INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nCall-ID")
 	h.advance(callerMessageTimeout + 500*time.Millisecond)
 	if _, closed := h.closed[caller]; closed {
@@ -457,11 +449,7 @@
 func TestAnAnswerThatCrossesTheEndOfItsOffice(t *testing.T) {
 	for name, listed := range map[string][]feed.Member{"with a successor": {successor("s-9", 0)}, "without a successor": nil} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, nil)
-			h.connect("10.0.0.1:5080")
-			caller := h.acceptCaller()
-			h.callerSends(caller, invite(7, "dest:1;width:1"))
-			conn, _ := h.takeSetUp(7)
+			h, caller, conn := newHarnessWithSetUp(t, nil)
 			h.apply(Input{Kind: InDiscovery, Events: []feed.Event{discoveryEvent(2, false, append(listed, member("s-1", 1, feed.Deleted))...)}})
 			h.officeSends(conn, answerMsg(7))
 			requireMessages(t, "answer to the call", h.takeCallerMessages(caller), "200")
