callserver: copies of releases are bounded, and choosing a connection is cheap

Change: the connection of the call is taken without looking at others; of the others the best are kept in one pass.

--- a/callserver/callerreleases.go
+++ b/callserver/callerreleases.go
@@ -31,7 +31,8 @@
 	// releaseRepeatTimeout is how long a release is sent on ever more connections that was sent on those of callers without a response,
 	// although others were responded to, or that only a client responded to which may not be a caller.
 	releaseRepeatTimeout = liveness.EndReportLimit
-	maxReleaseCopies     = 16 // connections on which one release is sent, apart from those of known callers
+	maxReleaseCopies     = 32   // connections on which one release is sent before it is sent to known callers
+	maxCopiesAtOnce      = 2048 // of all releases together, so that writing them delays no calls
 	maxCallerReleases    = 8192
 )
 
@@ -83,7 +84,11 @@
 
 // sendOnBestConn sends a release on the best connection on which it was not sent yet, and reports whether there is one.
 func (s *Server) sendOnBestConn(r *callerRelease) bool {
-	conns := s.connsForRelease(r)
+	if own := r.call.callerConn; own != nil && s.callerConns[own.id] == own && !slices.Contains(r.sentOn, own.id) {
+		s.sendCallerRelease(own, r)
+		return true
+	}
+	conns := s.bestConnsForRelease(r, 1)
 	if len(conns) == 0 {
 		return false
 	}
@@ -91,34 +96,37 @@
 	return true
 }
 
-// connsForRelease returns the connections on which a release may be sent and was not sent yet, the best one first: that of its
-// set-up or latest claim, then those with the highest rank, then those on which something has come since it was last sent, then
-// those that were used last.
-func (s *Server) connsForRelease(r *callerRelease) []*callerConn {
-	var conns []*callerConn
+// bestConnsForRelease returns up to limit connections on which a release may be sent and was not sent yet, the best one first.
+func (s *Server) bestConnsForRelease(r *callerRelease, limit int) []*callerConn {
+	best := make([]*callerConn, 0, limit)
 	for _, caller := range s.callerConns {
-		eligible := caller == r.call.callerConn || caller.rank() > notCallers &&
-			(len(r.sentOn) < maxReleaseCopies || caller.rank() == knownCallers)
-		if eligible && !slices.Contains(r.sentOn, caller.id) {
-			conns = append(conns, caller)
+		if caller.rank() == notCallers || slices.Contains(r.sentOn, caller.id) ||
+			len(best) == limit && (limit == 0 || compareForRelease(caller, best[limit-1], r) > 0) {
+			continue
 		}
+		if len(best) == limit {
+			best = best[:limit-1]
+		}
+		at, _ := slices.BinarySearchFunc(best, caller, func(a, b *callerConn) int { return compareForRelease(a, b, r) })
+		best = slices.Insert(best, at, caller)
 	}
-	slices.SortFunc(conns, func(a, b *callerConn) int {
-		return cmp.Or(compareBool(b == r.call.callerConn, a == r.call.callerConn), cmp.Compare(b.rank(), a.rank()),
-			compareBool(b.lastActivity > r.sentAt, a.lastActivity > r.sentAt), cmp.Compare(b.lastUsed, a.lastUsed), cmp.Compare(b.id, a.id))
-	})
-	return conns
+	return best
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
+// compareForRelease orders connections for a release, the best one first: those with the highest rank, then those on which something
+// has come since it was last sent, then those that were used last.
+func compareForRelease(a, b *callerConn, r *callerRelease) int {
+	if a.rank() != b.rank() {
+		return cmp.Compare(b.rank(), a.rank())
+	}
+	aActive, bActive := a.lastActivity > r.sentAt, b.lastActivity > r.sentAt
 	switch {
-	case a == b:
-		return 0
-	case b:
+	case aActive && !bActive:
 		return -1
+	case bActive && !aActive:
+		return 1
 	}
-	return 1
+	return cmp.Or(cmp.Compare(b.lastUsed, a.lastUsed), cmp.Compare(b.id, a.id))
 }
 
 // byeCSeq is the sequence number of a BYE, the only request sent toward the caller of a call.
@@ -160,13 +168,15 @@
 	}
 }
 
-// repeatCallerRelease sends a release on other connections. Without any, one that was confirmed or sent to callers is checked again. Any
-// other one waits for evidence that a connection is from callers.
+// repeatCallerRelease sends a release on another connection, and the next time on all others up to maxReleaseCopies, or on fewer if many
+// releases are repeated. Without any, one that was confirmed or sent to callers is checked again. Any other one waits for evidence
+// that a connection is from callers.
 func (s *Server) repeatCallerRelease(r *callerRelease) {
-	conns := s.connsForRelease(r)
-	if len(r.sentOn) == 1 {
-		conns = conns[:min(1, len(conns))]
+	limit := 1
+	if len(r.sentOn) > 1 {
+		limit = min(max(0, maxReleaseCopies-len(r.sentOn)), max(1, maxCopiesAtOnce/len(s.callerReleases.order)))
 	}
+	conns := s.bestConnsForRelease(r, limit)
 	for _, caller := range conns {
 		s.sendCallerRelease(caller, r)
 	}
--- a/callserver/callerreleases_test.go
+++ b/callserver/callerreleases_test.go
@@ -314,6 +314,45 @@
 	}
 }
 
+// Guards against a call server that is busy for seconds with copies of releases when many calls end beside many clients.
+func TestCopiesOfReleasesAreBounded(t *testing.T) {
+	const clients, calls = 200, 400
+	h := newHarness(t, func(cfg *Config) { cfg.MaxCallerConns, cfg.MaxOpenCalls = 2*clients, 2*calls })
+	claimer := h.acceptCaller()
+	for id := range uint64(calls) {
+		h.callerSends(claimer, invite(1000+id, "dest:1;width:1;at:s-1"))
+	}
+	h.apply(Input{Kind: InClosed, Conn: claimer})
+	likeCallers := h.acceptClientsLikeCallers(clients, "dest:9;width:1")
+	h.server.dropEstablishedCalls(h.server.offices["s-1"], h.now, "test")
+	h.collectEffects()
+	copies, largestRound := 0, 0
+	for range 12 { // less than releaseRepeatTimeout
+		round := 0
+		for _, client := range likeCallers {
+			round += strings.Count(string(h.written[client]), "CSeq: 2 BYE")
+			delete(h.written, client)
+		}
+		copies, largestRound = copies+round, max(largestRound, round)
+		h.advance(byeResponseTimeout)
+	}
+	if copies > calls*maxReleaseCopies || largestRound > maxCopiesAtOnce || copies < 3*calls {
+		t.Errorf("%d copies of %d releases, up to %d at once", copies, calls, largestRound)
+	}
+	caller := h.acceptCaller()
+	h.callerSends(caller, invite(20, "dest:1;width:1"))
+	h.connect("10.0.0.1:5080")
+	h.answerSetUp(20, "spare:30;total:30")
+	if got := strings.Count(string(h.written[caller]), "CSeq: 2 BYE"); got != calls {
+		t.Errorf("%d of %d releases reached the caller that turned up", got, calls)
+	}
+	h.server.byesAnswered = true // the caller does not respond, though others have
+	h.advance(2 * releaseRepeatTimeout)
+	if n := len(h.server.callerReleases.order); n != 0 {
+		t.Errorf("%d releases are kept", n)
+	}
+}
+
 // The releases that wait for callers are bounded, and the newest are kept.
 func TestWaitingReleasesAreBounded(t *testing.T) {
 	h := newHarness(t, nil)
