callserver: a claim with a class that does not exist is no evidence of callers

Change: with a class that the settings don't have it counts as something that callers never send, as a set-up does.

Shown: the entry "claim with an unknown class" of TestReleaseGoesToCallersNotToUnknownClients names a listed office now and fails without the change; tests of callserver pass.

--- a/callserver/callerevidence.go
+++ b/callserver/callerevidence.go
@@ -38,6 +38,15 @@
 	return likelyCallers
 }
 
+// recordClaim notes a claim to a call that is not known here, at a listed office. A class that does not exist is nothing that callers send.
+func (s *Server) recordClaim(caller *callerConn, className string) {
+	if _, exists := s.classIndex[className]; !exists && className != "" {
+		caller.misbehaved = true
+		return
+	}
+	s.recordEvidence(caller, sentSetUp)
+}
+
 // recordEvidence notes evidence that a connection is from callers. Releases that wait for such a connection are sent.
 func (s *Server) recordEvidence(caller *callerConn, evidence callerEvidence) {
 	if evidence <= caller.evidence || s.callerConns[caller.id] != caller {
--- a/callserver/callerreleases_test.go
+++ b/callserver/callerreleases_test.go
@@ -30,7 +30,7 @@
 	"no class":                       withClass(invite(99, "dest:1;width:1"), ""),
 	"unknown class to nowhere":       withClass(invite(99, "dest:9;width:1"), "x"),
 	"claim at an unlisted office":    invite(99, "at:s-99"),
-	"claim with an unknown class":    withClass(invite(99, "at:s-99"), "x"),
+	"claim with an unknown class":    withClass(invite(99, "at:s-1"), "x"),
 	"no Call-ID":                     strings.Replace(invite(99, "dest:1;width:1"), "Call-ID", "X-ID", 1),
 	"a figure out of range":          invite(99, "dest:70000;width:1"),
 	"no description":                 request("INVITE", 99),
--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -328,7 +328,7 @@
 	} else {
 		s.addEstablished(call.remote)
 		s.markAdoptedUnverified(call.remote)
-		s.recordEvidence(caller, sentSetUp)
+		s.recordClaim(caller, invite.className)
 	}
 	if cause, ended := s.unclaimed.take(invite.wireID); ended {
 		s.endEstablished(call, logic.Reset, cause, nil, "released by its office before its caller claimed it")
@@ -357,7 +357,7 @@
 	if remote := s.offices[call.remote.id]; remote != nil {
 		call.remote = remote
 		s.addEstablished(remote)
-		s.recordEvidence(call.callerConn, sentSetUp)
+		s.recordClaim(call.callerConn, call.className)
 		return
 	}
 	s.endEstablished(call, logic.Reset, office.CauseTemporary, nil, "adopted at an office that service discovery does not list")
