callserver: a release costs no more than before it was kept

Cause: removing a release went over all that were kept, each had two timers, and its list of connections a piece of memory of its own.

Change: removed releases are skipped and dropped in bulk, one timer is armed for the time at which the release may count as heard, and the first connection has room in the release.

Tests pass, with -race as well.

--- a/callserver/callerreleases.go
+++ b/callserver/callerreleases.go
@@ -17,6 +17,7 @@
 	call         *activeCall
 	cause        byte
 	sentOn       []ConnID      // connections on which it was sent and not lost, the latest one last
+	firstConn    [1]ConnID     // room for sentOn, as most releases are sent once
 	firstSentAt  time.Duration // valid if it was sent
 	sentAt       time.Duration // when it was sent last
 	sentToCaller bool          // one of them is that of its set-up or claim, or one of known callers
@@ -34,12 +35,13 @@
 	maxReleaseCopies     = 32   // connections on which one release is sent before it is sent to known callers
 	maxCopiesAtOnce      = 2048 // of all releases together, so that writing them delays no calls
 	maxCallerReleases    = 8192
+	minReleaseOrder      = 64 // removed releases that callerReleases.order may hold in any case
 )
 
 // callerReleases holds the releases that do not count as heard yet, at most maxCallerReleases.
 type callerReleases struct {
 	byWireID map[uint64]*callerRelease
-	order    []*callerRelease // oldest first
+	order    []*callerRelease // oldest first; may hold some that were removed
 }
 
 // add keeps a release. It replaces an earlier one of the same call.
@@ -47,25 +49,38 @@
 	if c.byWireID == nil {
 		c.byWireID = map[uint64]*callerRelease{}
 	}
-	c.remove(c.byWireID[r.call.wireID])
-	if len(c.order) >= maxCallerReleases {
+	if len(c.order) >= 2*len(c.byWireID)+minReleaseOrder {
+		c.order = c.inOrder()
+	}
+	if len(c.byWireID) >= maxCallerReleases {
+		c.order = c.inOrder()
 		c.remove(c.order[0])
 	}
 	c.byWireID[r.call.wireID] = r
 	c.order = append(c.order, r)
 }
 
-// remove drops a release; nil: it does nothing.
+// remove drops a release.
 func (c *callerReleases) remove(r *callerRelease) {
-	if r != nil && c.byWireID[r.call.wireID] == r {
+	if c.byWireID[r.call.wireID] == r {
 		delete(c.byWireID, r.call.wireID)
-		c.order = slices.DeleteFunc(c.order, func(other *callerRelease) bool { return other == r })
 	}
 }
 
+// inOrder returns a copy of the releases, oldest first.
+func (c *callerReleases) inOrder() []*callerRelease {
+	kept := make([]*callerRelease, 0, len(c.byWireID))
+	for _, r := range c.order {
+		if c.byWireID[r.call.wireID] == r {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
 // waiting returns the number of releases that no connection could carry yet.
 func (c *callerReleases) waiting() (count int) {
-	for _, r := range c.order {
+	for _, r := range c.byWireID {
 		if len(r.sentOn) == 0 {
 			count++
 		}
@@ -76,6 +91,7 @@
 // releaseToCaller releases an established call toward its caller.
 func (s *Server) releaseToCaller(call *activeCall, cause byte) {
 	r := &callerRelease{call: call, cause: cause}
+	r.sentOn = r.firstConn[:0]
 	s.callerReleases.add(r)
 	if !s.sendOnBestConn(r) {
 		s.logWithHistory("release waits for a caller connection", call)
@@ -140,7 +156,16 @@
 	r.sentOn, r.sentAt, r.sentToCaller = append(r.sentOn, caller.id), s.now, r.sentToCaller || s.isCallerOf(caller, r)
 	s.trace("to caller", "BYE", caller.remoteAddr, caller.id, r.call.callID, int(r.cause))
 	s.emit(Write{Conn: caller.id, Bytes: sip.Request(nil, "BYE", "sip:"+r.call.calledNumber+"@net", r.call.callID, byeCSeq, int(r.cause))})
-	s.armTimer(byeResponseTimeout, timer{kind: timerCheckCallerRelease, targetID: r.call.wireID})
+	s.armTimer(s.heardAfter(r), timer{kind: timerCheckCallerRelease, targetID: r.call.wireID})
+}
+
+// heardAfter returns how long after it was last sent a release is checked: callers may not respond, so that one that was sent to them
+// counts as heard once its connection has been up for connLossDelay. The end of a connection shows in this time.
+func (s *Server) heardAfter(r *callerRelease) time.Duration {
+	if r.sentToCaller && !s.byesAnswered {
+		return connLossDelay
+	}
+	return byeResponseTimeout
 }
 
 // isCallerOf reports whether a connection is known to be from callers, those of a release among them.
@@ -148,21 +173,16 @@
 	return caller == r.call.callerConn || caller.rank() == knownCallers
 }
 
-// checkCallerRelease is due byeResponseTimeout after a release was sent. If callers do not respond to BYE, the release counts as heard
-// once its connection has been up for connLossDelay; the end of a connection shows in this time. Otherwise it is sent on another
-// connection, and after that on all others.
+// checkCallerRelease is due when a release may count as heard. Otherwise it is sent on another connection, and after that on others.
 func (s *Server) checkCallerRelease(wireID uint64) {
 	r := s.callerReleases.byWireID[wireID]
-	if r == nil || len(r.sentOn) == 0 || s.now < r.sentAt+byeResponseTimeout {
+	if r == nil || len(r.sentOn) == 0 || s.now < r.sentAt+s.heardAfter(r) {
 		return
 	}
 	switch {
-	case r.sentToCaller && r.confirmed,
-		r.sentToCaller && !s.byesAnswered && s.now >= r.sentAt+connLossDelay,
+	case r.sentToCaller && !s.byesAnswered,
 		(r.sentToCaller || r.confirmed) && s.now >= r.firstSentAt+releaseRepeatTimeout:
 		s.callerReleases.remove(r)
-	case r.sentToCaller && !s.byesAnswered:
-		s.timers.Arm(r.sentAt+connLossDelay, timer{kind: timerCheckCallerRelease, targetID: wireID})
 	default:
 		s.repeatCallerRelease(r)
 	}
@@ -174,7 +194,7 @@
 func (s *Server) repeatCallerRelease(r *callerRelease) {
 	limit := 1
 	if len(r.sentOn) > 1 {
-		limit = min(max(0, maxReleaseCopies-len(r.sentOn)), max(1, maxCopiesAtOnce/len(s.callerReleases.order)))
+		limit = min(max(0, maxReleaseCopies-len(r.sentOn)), max(1, maxCopiesAtOnce/len(s.callerReleases.byWireID)))
 	}
 	conns := s.bestConnsForRelease(r, limit)
 	for _, caller := range conns {
@@ -202,12 +222,14 @@
 // sendWaitingCallerReleases sends the releases on a connection that were not sent to known callers yet, as there is new evidence that
 // it is from callers.
 func (s *Server) sendWaitingCallerReleases(caller *callerConn) {
-	for _, r := range slices.Clone(s.callerReleases.order) {
+	for _, r := range s.callerReleases.inOrder() {
 		switch known := caller.rank() == knownCallers; {
 		case r.sentToCaller:
+		case slices.Contains(r.sentOn, caller.id) && known && r.confirmed:
+			s.callerReleases.remove(r)
 		case slices.Contains(r.sentOn, caller.id) && known:
 			r.sentToCaller = true
-			s.armTimer(0, timer{kind: timerCheckCallerRelease, targetID: r.call.wireID})
+			s.timers.Arm(r.sentAt+s.heardAfter(r), timer{kind: timerCheckCallerRelease, targetID: r.call.wireID})
 		case !slices.Contains(r.sentOn, caller.id) && (known || len(r.sentOn) < maxReleaseCopies):
 			s.sendCallerRelease(caller, r)
 		}
@@ -216,7 +238,7 @@
 
 // resendLostCallerReleases sends the releases again that may be lost on a connection which has ended.
 func (s *Server) resendLostCallerReleases(caller *callerConn) {
-	for _, r := range slices.Clone(s.callerReleases.order) {
+	for _, r := range s.callerReleases.inOrder() {
 		i := slices.Index(r.sentOn, caller.id)
 		if i < 0 || i < len(r.sentOn)-1 || s.now > r.sentAt+connLossDelay {
 			continue
--- a/callserver/callerreleases_test.go
+++ b/callserver/callerreleases_test.go
@@ -244,17 +244,41 @@
 // A release that was sent on a connection which turns out to be from callers later counts as heard like any other.
 func TestReleaseOnAConnectionThatTurnsOutToBeFromCallers(t *testing.T) {
 	for _, responds := range []bool{true, false} {
-		h, conn := newHarnessForReleases(t)
-		caller := h.acceptCaller()
-		h.callerSends(caller, invite(20, "dest:9;width:1"))
-		h.officeSends(conn, releaseMsg(7, office.CauseNormal, ""))
-		if responds {
-			h.callerSends(caller, byeResponse(7, "200 OK"))
+		for _, callersRespond := range []bool{true, false} {
+			h, conn := newHarnessForReleases(t)
+			h.server.byesAnswered = callersRespond
+			caller := h.acceptCaller()
+			h.callerSends(caller, invite(20, "dest:9;width:1"))
+			h.officeSends(conn, releaseMsg(7, office.CauseNormal, ""))
+			if responds {
+				h.callerSends(caller, byeResponse(7, "200 OK"))
+			}
+			h.establish(caller, 8)
+			h.advance(2 * time.Second)
+			unheard := 0
+			if !responds && callersRespond {
+				unheard = 1
+			}
+			if n := len(h.server.callerReleases.byWireID); n != unheard {
+				t.Errorf("responds %v, callers respond %v: %d releases are kept", responds, callersRespond, n)
+			}
 		}
-		h.establish(caller, 8)
-		h.advance(2 * time.Second)
-		if n := len(h.server.callerReleases.order); n != 0 {
-			t.Errorf("responds %v: %d releases are kept", responds, n)
+	}
+}
+
+// Where callers do not respond to BYE, one counts as heard once its connection has been up for connLossDelay.
+func TestReleaseOnAConnectionThatEndsSoon(t *testing.T) {
+	for after, want := range map[time.Duration]int{connLossDelay - 50*time.Millisecond: 1, connLossDelay + 50*time.Millisecond: 0} {
+		h := newHarness(t, nil)
+		h.connect("10.0.0.1:5080")
+		own, other := h.acceptCaller(), h.acceptCaller()
+		h.establish(own, 7)
+		h.establish(other, 8)
+		h.officeSends(h.server.callsByWireID[7].conn.id, releaseMsg(7, office.CauseNormal, ""))
+		h.advance(after)
+		h.apply(Input{Kind: InClosed, Conn: own})
+		if n := h.countByes(other); n != want {
+			t.Errorf("%d BYE on another connection, %v after the first", n, after)
 		}
 	}
 }
@@ -275,7 +299,7 @@
 			t.Errorf("%d BYE on connection %d", n, conn)
 		}
 	}
-	if n := len(h.server.callerReleases.order); n != 0 {
+	if n := len(h.server.callerReleases.byWireID); n != 0 {
 		t.Errorf("%d releases are kept", n)
 	}
 }
@@ -348,7 +372,7 @@
 	}
 	h.server.byesAnswered = true // the caller does not respond, though others have
 	h.advance(2 * releaseRepeatTimeout)
-	if n := len(h.server.callerReleases.order); n != 0 {
+	if n := len(h.server.callerReleases.byWireID); n != 0 {
 		t.Errorf("%d releases are kept", n)
 	}
 }
@@ -359,7 +383,7 @@
 	for id := range uint64(maxCallerReleases + 10) {
 		h.server.releaseToCaller(&activeCall{wireID: 1000 + id}, office.CauseNormal)
 	}
-	if n := len(h.server.callerReleases.order); n != maxCallerReleases || h.server.callerReleases.byWireID[1000] != nil {
+	if n := len(h.server.callerReleases.byWireID); n != maxCallerReleases || h.server.callerReleases.byWireID[1000] != nil {
 		t.Errorf("%d releases are kept, the oldest one among them: %v", n, h.server.callerReleases.byWireID[1000] != nil)
 	}
 }
--- a/callserver/callserver_test.go
+++ b/callserver/callserver_test.go
@@ -116,10 +116,10 @@
 	if n := len(h.server.offices); n > 4 {
 		t.Errorf("%d offices have not been removed", n)
 	}
-	if len(h.server.callsByID)+len(h.server.callsByWireID)+len(h.server.callerConns)+len(h.server.callerReleases.order) != 0 ||
+	if len(h.server.callsByID)+len(h.server.callsByWireID)+len(h.server.callerConns)+len(h.server.callerReleases.byWireID) != 0 ||
 		len(h.server.officeConns) > 10 {
 		t.Errorf("not removed: %d calls, %d IDs, %d callers, %d releases, %d connections", len(h.server.callsByID),
-			len(h.server.callsByWireID), len(h.server.callerConns), len(h.server.callerReleases.order), len(h.server.officeConns))
+			len(h.server.callsByWireID), len(h.server.callerConns), len(h.server.callerReleases.byWireID), len(h.server.officeConns))
 	}
 }
 
