--- a/review/rig2/office.go
+++ b/review/rig2/office.go
@@ -27,6 +27,7 @@
 	answers   map[uint64]int         // set-ups that were answered: the call stood
 	released  map[uint64]time.Time   // when the call server first released a standing call
 	unsent    []uint64               // releases for the next connection that is opened
+	farEnd    int                    // calls that the far end of the group has set up
 }
 
 // officeConn is a connection to an office.
@@ -112,7 +113,15 @@
 
 // groupState returns the state of the trunk group in wire form; o.mu is held.
 func (o *exchangeOffice) groupState() string {
-	return fmt.Sprintf("spare:%d;total:%d", circuits-len(o.standing), circuits)
+	return fmt.Sprintf("spare:%d;total:%d", circuits-len(o.standing)-o.farEnd, circuits)
+}
+
+// setFarEndCalls sets how many circuits of the group calls of its far end take.
+func (o *exchangeOffice) setFarEndCalls(count int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.farEnd = count
+	o.rig.logf("office %s: calls of the far end take %d circuits", o.id, count)
 }
 
 // reportGroupState reports the state of the trunk group on each connection, as it has changed.
