--- a/review/rig2/callserver.go
+++ b/review/rig2/callserver.go
@@ -61,7 +61,7 @@
 	s := &callServer{name: fmt.Sprintf("process %d", len(r.servers)+1), addr: addr, ended: make(chan struct{})}
 	known := j.known()
 	config, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "journal": j.addr,
-		"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "limits": map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": 512},
+		"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "limits": map[string]any{"cores": 1.0, "memory_mb": r.memoryMB, "sockets": 512},
 		"known": known, "settings": settings(effect)})
 	if err != nil {
 		return nil, err
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -27,11 +28,24 @@
 	host      string // loopback address of all listeners
 	ports     int    // number of ports that freeAddr has returned
 	servers   []*callServer
+	memoryMB  int  // limit of memory of a call server
+	quiet     bool // there are very many messages
+	lines     atomic.Int64
 	clients   clients
 }
 
-// logf writes a line with the time to the record.
+// logf writes a line about a message to the record, unless the case is quiet and sends very many.
 func (r *rig) logf(format string, args ...any) {
+	if !r.quiet || r.lines.Add(1) <= maxQuietLines {
+		r.note(format, args...)
+	}
+}
+
+// maxQuietLines is how many lines about messages a quiet case records.
+const maxQuietLines = 2000
+
+// note writes a line with the time to the record.
+func (r *rig) note(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fmt.Fprintf(r.record, "%8.3f %s\n", time.Since(r.startedAt).Seconds(), fmt.Sprintf(format, args...))
@@ -74,7 +88,7 @@
 	}
 	defer os.RemoveAll(folder)
 	pid := os.Getpid()
-	r := &rig{record: record, startedAt: time.Now(), trouble: os.Getenv("TROUBLE") != "0", folder: folder,
+	r := &rig{record: record, startedAt: time.Now(), trouble: os.Getenv("TROUBLE") != "0", folder: folder, memoryMB: 128,
 		host: fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&31, pid>>8&255, 1+pid%250)}
 	r.clients.rig, r.clients.calls = r, map[uint64]*clientCall{}
 	defer r.killServers()
@@ -85,7 +99,7 @@
 		case <-stopped:
 		case <-time.After(longestCase):
 		}
-		r.logf("could not run: stopped")
+		r.note("could not run: stopped")
 		r.killServers()
 		os.Exit(2)
 	}()
@@ -93,15 +107,15 @@
 	broken, err := cases[os.Args[1]](r)
 	switch {
 	case err != nil:
-		r.logf("could not run: %v", err)
+		r.note("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	case broken != "":
-		r.logf("BROKEN: %s", broken)
+		r.note("BROKEN: %s", broken)
 		fmt.Println("broken:", broken)
 		return 1
 	}
-	r.logf("the rule held")
+	r.note("the rule held")
 	fmt.Println("held")
 	return 0
 }
--- a/review/rig2/office.go
+++ b/review/rig2/office.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -18,6 +19,7 @@
 	id        string
 	addr      string
 	setUpTime time.Duration // from the arrival of a set-up to its answer
+	hold      time.Duration // mean length of a call; 0: until the case ends it
 	rig       *rig
 	mu        sync.Mutex
 	listener  net.Listener
@@ -219,6 +221,9 @@
 		o.rig.logf("office %s -> call server, connection %d: answer to %016x, it stands", o.id, c.number, call)
 		c.send(&office.Message{Type: office.Answer, Call: call, Description: []byte(fmt.Sprintf("%016x\r\nc=IN IP4 127.0.0.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n", call))})
 		o.reportGroupState()
+		if o.hold > 0 {
+			time.AfterFunc(time.Duration(rand.ExpFloat64()*float64(o.hold)), func() { o.endCall(call) })
+		}
 	}
 }
 
@@ -227,6 +232,10 @@
 func (o *exchangeOffice) endCall(call uint64) bool {
 	o.mu.Lock()
 	conn, stood := o.standing[call]
+	if !stood {
+		o.mu.Unlock()
+		return false
+	}
 	delete(o.standing, call)
 	if !slices.Contains(o.conns, conn) {
 		conn = nil
@@ -236,7 +245,7 @@
 	}
 	o.unsent = append(o.unsent, call)
 	o.mu.Unlock()
-	if !stood || conn == nil {
+	if conn == nil {
 		return false
 	}
 	o.rig.logf("office %s -> call server, connection %d: release of %016x, cause 16", o.id, conn.number, call)
