--- a/review/rig2/withdrawncase.go
+++ b/review/rig2/withdrawncase.go
@@ -24,8 +24,8 @@
 
 // memoryLimitMB is the limit of memory of the case, and floodTime how long the client sends.
 const (
-	memoryLimitMB = 64
-	floodTime     = 45 * time.Second
+	memoryLimitMB = 32
+	floodTime     = 30 * time.Second
 )
 
 // anonymousMB returns the memory of the process of a call server without the pages of its program, in MB.
