callserver: a claimed call is attached to its office by the event that lists it

Callers saw: a call that they had named after a restart of the call server, at an office that was listed a second later, ended at its office, and they were never told.

Cause: the claim made a record of an office without an address, and only a timer 5 s after the start put the listed office in its place. Until then the release of the office was dropped, and a BYE of the caller was kept for a listing that had been.

Change: the event that lists the office attaches the call, by the same function as a claim at a listed office; one that lists it as gone ends the call. Before the listing a release with the cause of an established call counts from any office.

--- a/callserver/claims.go
+++ b/callserver/claims.go
@@ -37,26 +37,70 @@
 	call := &activeCall{wireID: invite.wireID, callID: invite.msg.CallID, callerConn: caller, adoptedBy: caller, state: callEstablished,
 		className: invite.className, calledNumber: invite.calledNumber, width: min(invite.offer.Width, s.maxCallWidth())}
 	s.callsByWireID[call.wireID] = call
-	call.remote = s.offices[invite.officeID]
-	if call.remote == nil {
-		call.remote = &remoteOffice{id: invite.officeID} // not listed by service discovery yet
-		call.remote.establishedCalls++
-		s.armTimer(max(s.startedAt+adoptedOfficeTimeout-s.now, lateClaimTimeout), timer{kind: timerCheckAdopted, targetID: call.wireID})
+	cause, released := s.unclaimed.take(invite.wireID)
+	remote := s.offices[invite.officeID]
+	if remote != nil {
+		s.attachClaim(call, remote)
 	} else {
-		call.holdCall(call.remote.address.Claimed(s.now))
-		s.addEstablished(call.remote)
-		s.markAdoptedUnverified(call.remote)
-		s.recordClaim(caller, invite.className)
+		s.awaitListing(call, invite.officeID)
 	}
-	if cause, ended := s.unclaimed.take(invite.wireID); ended {
+	switch {
+	case released:
 		s.endEstablished(call, logic.Reset, cause, nil, "released by its office before its caller claimed it")
-		return
+	case remote != nil:
+		s.endClaimIfOver(call)
+	}
+}
+
+// awaitListing records that a claimed call is established at an office that service discovery does not list yet. Nothing but the ID of the
+// office is known until then.
+func (s *Server) awaitListing(call *activeCall, officeID string) {
+	call.remote = &remoteOffice{id: officeID}
+	call.remote.establishedCalls++
+	s.armTimer(max(s.startedAt+adoptedOfficeTimeout-s.now, lateClaimTimeout), timer{kind: timerCheckAdopted, targetID: call.wireID})
+}
+
+// attachClaim records at which listed office a claimed call is established, and which process holds it.
+func (s *Server) attachClaim(call *activeCall, remote *remoteOffice) {
+	call.remote = remote
+	call.holdCall(remote.address.Claimed(s.now))
+	s.addEstablished(remote)
+	s.markAdoptedUnverified(remote)
+	s.recordClaim(call.callerConn, call.className)
+}
+
+// attachClaims attaches the calls that were claimed at an office before service discovery listed it.
+func (s *Server) attachClaims(remote *remoteOffice) {
+	for _, call := range s.unlistedClaims(remote.id) {
+		s.attachClaim(call, remote)
+		s.endClaimIfOver(call)
 	}
-	if call.remote.state == logic.Gone && s.offices[invite.officeID] != nil {
+}
+
+// endClaimIfOver ends a claimed call whose office is gone.
+func (s *Server) endClaimIfOver(call *activeCall) {
+	if call.remote.state == logic.Gone {
 		s.endEstablished(call, logic.Reset, office.CauseTemporary, nil, "adopted at an office that is gone")
 	}
 }
 
+// endUnlistedClaims ends the calls that were claimed at an office which service discovery lists as gone and has not listed before.
+func (s *Server) endUnlistedClaims(officeID string) {
+	for _, call := range s.unlistedClaims(officeID) {
+		s.endEstablished(call, logic.Reset, office.CauseTemporary, nil, "adopted at an office that is gone")
+	}
+}
+
+// unlistedClaims returns the calls that were claimed at an office which service discovery has not listed yet.
+func (s *Server) unlistedClaims(officeID string) []*activeCall {
+	if s.adoptedCalls == 0 {
+		return nil
+	}
+	return s.callsInOrder(func(call *activeCall) bool {
+		return call.state == callEstablished && call.remote.unlisted() && call.remote.id == officeID
+	})
+}
+
 // maxCallWidth returns the greatest number of circuits that a call of any class takes.
 func (s *Server) maxCallWidth() int {
 	return slices.MaxFunc(s.cfg.Settings.Classes, func(a, b logic.Class) int { return cmp.Compare(a.Width, b.Width) }).Width
@@ -69,18 +113,10 @@
 	lateClaimTimeout     = 500 * time.Millisecond
 )
 
-// checkAdopted attaches an adopted call to its office if service discovery has listed that meanwhile, and otherwise ends the
-// call.
+// checkAdopted ends an adopted call if service discovery has not listed its office in time.
 func (s *Server) checkAdopted(wireID uint64) {
 	call := s.callsByWireID[wireID]
-	if call == nil || call.id != 0 || s.offices[call.remote.id] == call.remote {
-		return
-	}
-	if remote := s.offices[call.remote.id]; remote != nil {
-		call.remote = remote
-		call.holdCall(remote.address.Claimed(s.now))
-		s.addEstablished(remote)
-		s.recordClaim(call.callerConn, call.className)
+	if call == nil || call.state != callEstablished || !call.remote.unlisted() {
 		return
 	}
 	s.unlisted.add(call.remote.id, release{wireID: wireID, cause: office.CauseTemporary}, s.now)
--- a/callserver/discovery.go
+++ b/callserver/discovery.go
@@ -86,6 +86,7 @@
 		remote := s.offices[member.ID]
 		if remote == nil {
 			if state == logic.Gone {
+				s.endUnlistedClaims(member.ID)
 				continue
 			}
 			remote = &remoteOffice{id: member.ID, addr: member.Addr, startedAt: startedAt, listedAt: s.now, exchange: member.Cell,
@@ -112,6 +113,7 @@
 	}
 	for _, remote := range added {
 		s.takeOverCalls(remote)
+		s.attachClaims(remote)
 	}
 	return offices
 }
--- a/callserver/officeinput.go
+++ b/callserver/officeinput.go
@@ -166,7 +166,7 @@
 // handleReleaseOfEstablished handles the release of an established call. Its caller is given the cause in the Reason header of the
 // BYE. A release without a cause counts as one with cause 1, as 0 would leave the header out.
 func (s *Server) handleReleaseOfEstablished(call *activeCall, conn *officeConn, msg *office.Message, load []float64) {
-	if !call.remote.sharesAddress(conn.remote) || s.belongsToEarlierAttempt(call, conn, msg.Cause) {
+	if !s.mayEndEstablished(call, conn, msg.Cause) {
 		return
 	}
 	s.identify(call, conn)
@@ -177,3 +177,13 @@
 	s.endEstablished(call, logic.Reset, max(1, msg.Cause), load, "dropped by its office")
 	s.callDropped()
 }
+
+// mayEndEstablished reports whether a release on a connection is that of an established call. The office of a claimed call that service
+// discovery does not list yet may serve at any address, and only established calls are released with the normal and the
+// temporary-failure cause once the connection of their set-up has ended.
+func (s *Server) mayEndEstablished(call *activeCall, conn *officeConn, cause byte) bool {
+	if call.remote.unlisted() {
+		return cause == office.CauseNormal || cause == office.CauseTemporary
+	}
+	return call.remote.sharesAddress(conn.remote) && !s.belongsToEarlierAttempt(call, conn, cause)
+}
--- a/callserver/officereleases.go
+++ b/callserver/officereleases.go
@@ -17,7 +17,7 @@
 
 // sendRelease sends a release on a connection to an office or, if that cannot be used, on another one that did not carry it last.
 func (s *Server) sendRelease(remote *remoteOffice, conn *officeConn, r release) {
-	if remote.addr == "" { // service discovery does not list it
+	if remote.unlisted() {
 		s.unlisted.add(remote.id, r, s.now)
 		return
 	}
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -11,8 +11,8 @@
 // remoteOffice is the process that serves an exchange. Its address may have belonged to another process before.
 type remoteOffice struct {
 	id                   string
-	addr                 string
-	exchange             int // number of the exchange that it serves
+	addr                 string // empty: service discovery does not list the office yet
+	exchange             int    // number of the exchange that it serves
 	state                logic.OfficeState
 	startedAt            time.Duration // 0: not reported
 	conns                []*officeConn
@@ -118,6 +118,9 @@
 	return min(maxConnsPerOffice, max(1, s.cfg.MaxOfficeConns/shares))
 }
 
+// unlisted reports whether an office is only known by a claim to a call there, as service discovery does not list it yet.
+func (r *remoteOffice) unlisted() bool { return r.addr == "" }
+
 func (r *remoteOffice) anyConnUp() bool {
 	return slices.ContainsFunc(r.conns, func(conn *officeConn) bool { return conn.up && !conn.halfClosed })
 }
