callserver: naming a call is evidence of callers, whatever the request

Callers saw: their office ended a call while they had no connection open; 0.3 s later they opened one and ended other calls on it, and were never told of the first.

Cause: a connection counts as that of callers by evidence. docs/PLATFORM.md counts an established call that is named on it, but only a claim recorded that: a BYE did not, nor an ACK, nor a request that named a call which was over.

Change: what naming a call shows is recorded with the call and kept when it is over: nothing for a claim at an unlisted office, as much as a claim for one that no office has spoken of, all for one that an office has answered or released. ACK, BYE, CANCEL and claims take it from there. A claim of a call whose release waits gets that release.

--- a/callserver/callers.go
+++ b/callserver/callers.go
@@ -68,6 +68,10 @@
 		return
 	}
 	switch msg.Method {
+	case "ACK", "BYE", "CANCEL":
+		s.recordNamedCall(caller, msg.CallID)
+	}
+	switch msg.Method {
 	case "INVITE":
 		s.handleInvite(caller, msg)
 	case "ACK", "NOTIFY": // not answered
--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -44,13 +44,14 @@
 	answeredAt      time.Duration
 	sentAt          time.Duration // when the Controller asked for the attempt
 	attemptDeadline time.Duration
-	width           int           // number of circuits
-	setUpFailedAt   time.Duration // when an attempt last failed with the temporary-failure cause
-	openBytes       int           // counted for it while it has no final answer
-	callerConnLost  bool          // its connection ended before its final answer
-	awaitsOutcome   bool          // the Controller has not been given the Outcome of the latest attempt, or of the call established by it
-	setUpSent       bool          // the set-up of the attempt has been handed to the connection
-	releaseSent     bool          // the release of the attempt has been handed to the connection
+	width           int            // number of circuits
+	setUpFailedAt   time.Duration  // when an attempt last failed with the temporary-failure cause
+	openBytes       int            // counted for it while it has no final answer
+	callerConnLost  bool           // its connection ended before its final answer
+	evidence        callerEvidence // that a connection on which the established call is named is from callers
+	awaitsOutcome   bool           // the Controller has not been given the Outcome of the latest attempt, or of the call established by it
+	setUpSent       bool           // the set-up of the attempt has been handed to the connection
+	releaseSent     bool           // the release of the attempt has been handed to the connection
 	offeredAt       time.Duration
 	lastStatus      logic.Status // of the latest attempt that has ended, for the log
 	lastNote        int          // likewise
@@ -179,7 +180,7 @@
 func (s *Server) establishCall(call *activeCall, msg *office.Message) {
 	s.totals.Established++
 	s.detachAttempt(call)
-	call.state, call.awaitsOutcome, call.answeredAt = callEstablished, true, s.now
+	call.state, call.evidence, call.awaitsOutcome, call.answeredAt = callEstablished, carriedCall, true, s.now
 	s.countOpenCall(call, -1)
 	call.callerConn.lastUsed = s.now
 	s.respond(call.callerConn, call.inviteHead, 200, 0, msg.Description)
--- a/callserver/claims.go
+++ b/callserver/claims.go
@@ -23,9 +23,10 @@
 		}
 		return
 	}
-	if ended := s.endedCalls.find(invite.wireID, s.now); ended != nil && ended.established { // its caller may not know yet
+	if cause, evidence, over := s.findReleased(invite.wireID); over { // its caller may not know yet
 		s.releaseToCaller(&activeCall{wireID: invite.wireID, callID: invite.msg.CallID, callerConn: caller,
-			calledNumber: invite.calledNumber}, ended.cause)
+			calledNumber: invite.calledNumber, evidence: evidence}, cause)
+		s.recordEvidence(caller, evidence)
 		return
 	}
 	if !s.mayClaimCall(caller) {
@@ -46,6 +47,8 @@
 	}
 	switch {
 	case released:
+		call.evidence = carriedCall
+		s.recordEvidence(caller, carriedCall)
 		s.endEstablished(call, logic.Reset, cause, nil, "released by its office before its caller claimed it")
 	case remote != nil:
 		s.endClaimIfOver(call)
@@ -66,7 +69,7 @@
 	call.holdCall(remote.address.Claimed(s.now))
 	s.addEstablished(remote)
 	s.markAdoptedUnverified(remote)
-	s.recordClaim(call.callerConn, call.className)
+	s.recordClaim(call.callerConn, call)
 }
 
 // attachClaims attaches the calls that were claimed at an office before service discovery listed it.
--- a/callserver/endedcalls.go
+++ b/callserver/endedcalls.go
@@ -16,11 +16,12 @@
 	place[*endedCall]
 	call         *activeCall // while its last attempt has not ended; nil: it has
 	wireID       uint64
-	established  bool          // it was established before it ended
-	cause        byte          // given to its caller when it ended, if it was established
-	mayComeAgain bool          // its caller may send its set-up once more: see activeCall.callerConnLost
-	setUpConns   []ConnID      // connections on which set-ups with its ID were sent, unless it was established
-	releasedAt   time.Duration // see activeCall
+	established  bool           // it was established before it ended
+	evidence     callerEvidence // see activeCall
+	cause        byte           // given to its caller when it ended, if it was established
+	mayComeAgain bool           // its caller may send its set-up once more: see activeCall.callerConnLost
+	setUpConns   []ConnID       // connections on which set-ups with its ID were sent, unless it was established
+	releasedAt   time.Duration  // see activeCall
 	expiresAt    time.Duration
 }
 
@@ -49,7 +50,7 @@
 	if earlier := e.byWireID[call.wireID]; earlier != nil {
 		e.order.remove(earlier)
 	}
-	ended := &endedCall{call: call, wireID: call.wireID, established: call.state == callEstablished, cause: cause,
+	ended := &endedCall{call: call, wireID: call.wireID, established: call.state == callEstablished, evidence: call.evidence, cause: cause,
 		mayComeAgain: call.callerConnLost, expiresAt: now + endedCallRetention}
 	e.byWireID[call.wireID] = ended
 	e.order.add(ended, call.callerConn)
--- a/callserver/officeinput.go
+++ b/callserver/officeinput.go
@@ -170,6 +170,8 @@
 		return
 	}
 	s.identify(call, conn)
+	call.evidence = carriedCall
+	s.recordEvidence(call.callerConn, carriedCall)
 	if msg.HasCause && msg.Cause == office.CauseNormal {
 		s.endEstablished(call, logic.Ended, msg.Cause, load, "ended by its office")
 		return
