callserver: a call that a client has made up and claims twice is no evidence

Callers saw (in the core only): their call ended, and an unknown client was told, not they. A claim at an office that is not listed is no evidence that its connection is from callers, but the same claim once more was: the call was known here by then.

Change: the second claim shows what the first one did, as recorded with the call.

Evidence: "claims at an unlisted office" among unknownClients fails before (0 BYE to the caller, 1 BYE to the client) and passes now.

--- a/callserver/callerevidence_test.go
+++ b/callserver/callerevidence_test.go
@@ -43,6 +43,9 @@
 				if byes != 2 {
 					t.Errorf("messages on the connection: %q, want a BYE of each ended call", messages)
 				}
+				if h.server.callsByWireID[7] != nil {
+					t.Error("the ended call is established again")
+				}
 			})
 		}
 	}
--- a/callserver/callerreleases_test.go
+++ b/callserver/callerreleases_test.go
@@ -31,6 +31,7 @@
 	"unknown class to nowhere":       withClass(invite(99, "dest:9;width:1"), "x"),
 	"claim at an unlisted office":    invite(99, "at:s-99"),
 	"claim with an unknown class":    withClass(invite(99, "at:s-1"), "x"),
+	"claims at an unlisted office":   strings.Repeat(invite(99, "at:s-99"), 2), // the second one names a call that is known here
 	"BYE of a call claimed there":    invite(99, "at:s-99") + strings.Repeat(request("ACK", 99)+request("BYE", 99), 2) + invite(99, "at:s-99"),
 	"BYE of one with such a class":   withClass(invite(99, "at:s-1"), "x") + request("BYE", 99) + request("BYE", 99),
 	"no Call-ID":                     strings.Replace(invite(99, "dest:1;width:1"), "Call-ID", "X-ID", 1),
--- a/callserver/claims.go
+++ b/callserver/claims.go
@@ -19,7 +19,7 @@
 	if existing := s.callsByWireID[invite.wireID]; existing != nil {
 		if existing.state == callEstablished {
 			existing.callerConn = caller
-			s.recordEvidence(caller, carriedCall)
+			s.recordEvidence(caller, existing.evidence)
 		}
 		return
 	}
