callserver: a claimed call is not held by a process that started after the call server

Callers saw: the call server was killed and started again, their office restarted after that, and a call that they named then stood for ever for them; nothing could end it.

Cause: a claimed call was given to the process that serves at the address now, however late that came up. It is from before the start of the call server, which was recorded nowhere. News after the claim handed it over to the successor.

Change: liveness.Address keeps whether the first process that it followed has ended for certain, and a connection that stands for claimed calls is never held by a successor. A claimed call is released on both sides if its office, or one that has its address, has started since the call server did, or that first process has ended: at the claim, at the listing of its office, and when another office is listed at the address.

--- a/callserver/callerevidence_test.go
+++ b/callserver/callerevidence_test.go
@@ -86,3 +86,33 @@
 	h.officeSends(conn, releaseMsg(9, office.CauseNormal, ""))
 	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "BYE", "BYE")
 }
+
+// Guards against a release that waits although the connection has named a call which an office released before.
+func TestReleaseIsSentWhereACallIsClaimedThatAnOfficeHasEnded(t *testing.T) {
+	h, conn := newHarnessForReleases(t)
+	h.officeSends(conn, releaseMsg(7, office.CauseNormal, ""))
+	h.officeSends(conn, releaseMsg(9, office.CauseNormal, "")) // of an earlier process
+	caller := h.acceptCaller()
+	h.callerSends(caller, invite(9, "dest:1;width:1;at:s-9"))
+	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "BYE", "BYE")
+}
+
+// Guards against a connection on which callers end calls that is closed before one that has rested for longer.
+func TestConnectionOnWhichCallsAreEndedIsNotEvictedFirst(t *testing.T) {
+	h := newHarness(t, func(cfg *Config) { cfg.MaxCallerConns = 2 })
+	h.connect("10.0.0.1:5080")
+	caller := h.acceptCaller()
+	h.establish(caller, 7, 8)
+	h.advance(time.Second)
+	resting := h.acceptCaller()
+	h.establish(resting, 9)
+	h.advance(100 * time.Millisecond)
+	h.callerSends(caller, request("BYE", 7))
+	h.acceptCaller()
+	if _, closed := h.closed[caller]; closed {
+		t.Error("the connection that was used last was closed")
+	}
+	if _, closed := h.closed[resting]; !closed {
+		t.Error("the connection that has rested for longest is open")
+	}
+}
--- a/callserver/claims.go
+++ b/callserver/claims.go
@@ -72,19 +72,35 @@
 	s.recordClaim(call.callerConn, call)
 }
 
-// attachClaims attaches the calls that were claimed at an office before service discovery listed it.
+// attachClaims attaches the calls that were claimed at an office before service discovery listed it, and ends those claimed calls at its
+// address that are over, as it has started since or is gone.
 func (s *Server) attachClaims(remote *remoteOffice) {
 	for _, call := range s.unlistedClaims(remote.id) {
 		s.attachClaim(call, remote)
+	}
+	if s.adoptedCalls == 0 {
+		return
+	}
+	for _, call := range s.callsInOrder(func(call *activeCall) bool { return call.adoptedBy != nil && call.remote.sharesAddress(remote) }) {
 		s.endClaimIfOver(call)
 	}
 }
 
-// endClaimIfOver ends a claimed call whose office is gone.
+// endClaimIfOver ends a claimed call whose office is gone or whose process has ended. A claimed call was established before this process
+// started, so that no process which started after it can hold it.
 func (s *Server) endClaimIfOver(call *activeCall) {
-	if call.remote.state == logic.Gone {
+	remote := call.remote
+	switch {
+	case remote.state == logic.Gone:
 		s.endEstablished(call, logic.Reset, office.CauseTemporary, nil, "adopted at an office that is gone")
+	case max(remote.startedAt, s.successorStart(remote)) > s.startedAt:
+		s.giveUpCall(call, "the process at its office's address has started since this one")
+	case remote.address.FirstProcessEnded():
+		s.giveUpCall(call, "its office's process has ended since this one started")
+	default:
+		return
 	}
+	s.flushOfficeReleases(remote)
 }
 
 // endUnlistedClaims ends the calls that were claimed at an office which service discovery lists as gone and has not listed before.
--- a/callserver/claims_test.go
+++ b/callserver/claims_test.go
@@ -1,6 +1,7 @@
 package callserver
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -130,3 +131,141 @@
 		})
 	}
 }
+
+// restart has the process at the address of s-1 end 1 s after the start of the call server, and another one serve there 0.5 s later. It
+// returns the start of that one in Unix milliseconds. Connections are refused in between, or none is opened.
+func (h *harness) restart(refused bool) (startedAtMs int64) {
+	h.t.Helper()
+	h.advance(time.Second)
+	h.resetConns(h.openConns())
+	if refused {
+		h.failDials("10.0.0.1:5080", true)
+		h.advance(500 * time.Millisecond)
+	}
+	startedAtMs = h.now.Milliseconds()
+	h.connectWithLoad("10.0.0.1:5080", busyLoad)
+	h.advance(100 * time.Millisecond)
+	h.connectWithLoad("10.0.0.1:5080", busyLoad)
+	return startedAtMs
+}
+
+// restartNews are the ways in which service discovery may tell that the process at the address of s-1 has restarted or was replaced.
+var restartNews = map[string]func(startedAtMs int64) [][]feed.Member{
+	"restart": func(startedAtMs int64) [][]feed.Member {
+		return [][]feed.Member{{successor("s-1", startedAtMs)}}
+	},
+	"successor, in one event": func(startedAtMs int64) [][]feed.Member {
+		return [][]feed.Member{{member("s-1", 1, feed.Deleted), successor("s-9", startedAtMs)}}
+	},
+	"successor, listed first": func(startedAtMs int64) [][]feed.Member {
+		return [][]feed.Member{{successor("s-9", startedAtMs)}, {member("s-1", 1, feed.Deleted)}}
+	},
+	"successor, and the old office is not reported as gone": func(startedAtMs int64) [][]feed.Member {
+		return [][]feed.Member{{successor("s-9", startedAtMs)}}
+	},
+	"successor without a start": func(int64) [][]feed.Member {
+		return [][]feed.Member{{member("s-1", 1, feed.Deleted), member("s-9", 1, feed.Serving)}}
+	},
+}
+
+// Guards against a claimed call that is taken to be held by a process which started after the call server did, and so never ends: its
+// caller claims it before the restart, after it, or once service discovery has told of it.
+func TestClaimAtAnOfficeThatStartedAfterTheCallServer(t *testing.T) {
+	const beforeRestart, beforeNews, afterNews = "before the restart", "before the news", "after the news"
+	for name, news := range restartNews {
+		for _, refused := range []bool{true, false} {
+			for _, claimed := range []string{beforeRestart, beforeNews, afterNews} {
+				t.Run(fmt.Sprintf("%s, refused %v, claimed %s", name, refused, claimed), func(t *testing.T) {
+					h := newHarness(t, nil)
+					h.connectWithLoad("10.0.0.1:5080", busyLoad)
+					var caller ConnID
+					claim := func(when string) {
+						if claimed == when {
+							caller = h.acceptCaller()
+							h.callerSends(caller, invite(7, "dest:1;width:1;at:s-1"))
+						}
+					}
+					claim(beforeRestart)
+					events := news(h.restart(refused))
+					claim(beforeNews)
+					h.advance(900 * time.Millisecond)
+					h.list(events)
+					claim(afterNews)
+					if call := h.server.callsByWireID[7]; call != nil && !call.remote.unlisted() {
+						t.Error("the call is established at a process that cannot hold it")
+					}
+					h.advanceServing(adoptedOfficeTimeout)
+					requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "BYE")
+				})
+			}
+		}
+	}
+}
+
+// A claimed call stays established at an office that started before the call server did, as service discovery tells before the claim.
+func TestClaimAtAnOfficeThatStartedBeforeTheCallServer(t *testing.T) {
+	h := newHarness(t, nil)
+	conn := h.connectWithLoad("10.0.0.1:5080", "spare:29;total:30")
+	h.list([][]feed.Member{{successor("s-1", (startTime - time.Second).Milliseconds())}})
+	caller := h.acceptCaller()
+	h.callerSends(caller, invite(7, "dest:1;width:1;at:s-1"))
+	if opened := h.connectWithLoad("10.0.0.1:5080", "spare:29;total:30"); opened != 0 {
+		conn = opened
+	}
+	h.advanceWithReports(20*time.Second, conn)
+	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller))
+}
+
+// A call that was set up at an office after its restart stays established when its caller names it.
+func TestClaimOfACallFromAfterTheRestart(t *testing.T) {
+	for name, news := range restartNews {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			h.connectWithLoad("10.0.0.1:5080", busyLoad)
+			events := news(h.restart(true))
+			h.list(events)
+			caller := h.acceptCaller()
+			h.callerSends(caller, invite(7, "dest:1;width:1"))
+			h.connectWithLoad("10.0.0.1:5080", busyLoad)
+			conn, _ := h.takeSetUp(7)
+			h.officeSends(conn, answerMsg(7))
+			at := h.server.callsByWireID[7].remote.id
+			h.takeCallerMessages(caller)
+			h.callerSends(h.acceptCaller(), invite(7, "dest:1;width:1;at:"+at))
+			h.advanceWithReports(20*time.Second, conn)
+			requireMessages(t, "messages to the caller", h.takeCallerMessages(caller))
+		})
+	}
+}
+
+// Guards against a claimed call that waits for service discovery although a connection has been refused since the start: the process that
+// held it has ended. The process that serves now is released as well, as a refusal is no proof for everybody.
+func TestClaimAfterARefusedConnection(t *testing.T) {
+	h := newHarness(t, nil)
+	h.connectWithLoad("10.0.0.1:5080", busyLoad)
+	h.restart(true)
+	h.countReleasesToOffices(7)
+	caller := h.acceptCaller()
+	h.callerSends(caller, invite(7, "dest:1;width:1;at:s-1"))
+	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "BYE")
+	if count := h.countReleasesToOffices(7); count != 1 {
+		t.Errorf("%d releases were sent to the office", count)
+	}
+}
+
+// Guards against a release of a claimed call that waits for another connection to its office although one is open.
+func TestClaimedCallIsReleasedAtTheSuccessorAtOnce(t *testing.T) {
+	h := newHarness(t, nil)
+	h.connectWithLoad("10.0.0.1:5080", busyLoad)
+	caller := h.acceptCaller()
+	h.callerSends(caller, invite(7, "dest:1;width:1;at:s-1"))
+	startedAtMs := h.restart(false)
+	if count := h.countReleasesToOffices(7); count != 0 {
+		t.Fatalf("%d releases were sent before the news", count)
+	}
+	h.apply(Input{Kind: InDiscovery, Events: []feed.Event{discoveryEvent(2, false, successor("s-9", startedAtMs))}})
+	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "BYE")
+	if count := h.countReleasesToOffices(7); count != 1 {
+		t.Errorf("%d releases were sent at the address", count)
+	}
+}
--- a/liveness/incarnation.go
+++ b/liveness/incarnation.go
@@ -39,6 +39,7 @@
 	open        bool
 	closing     bool // no longer written to from here
 	closingAt   time.Duration
+	claimed     bool // stands for the connections of claimed calls (see Address.Claimed)
 	calls       int
 }
 
@@ -48,6 +49,7 @@
 	incarnations []*Incarnation // oldest first
 	lossStart    time.Duration  // first end of a connection in the latest correlated loss
 	lossEnd      time.Duration  // last one in it; 0: none has been ended from the other end
+	firstEnded   bool           // the process that served when the address was first followed has ended for certain
 }
 
 // correlatedLossWindow is the longest time between the ends of two successive connections in a correlated loss: connections to
@@ -68,18 +70,23 @@
 	return a.add(&Connection{address: a, incarnation: current, upAt: now, open: true})
 }
 
-// Claimed records a call that was not answered on a connection from here, and is taken to be held by the present process.
+// Claimed records a call that was answered before the address was followed, and is taken to be held by the present process. It can't
+// be if FirstProcessEnded.
 func (a *Address) Claimed(now time.Duration) *Connection {
 	if current := a.current(); current == nil || !current.joinable {
 		a.begin(now).awaited = true
 	}
 	current := a.current()
 	if current.claimed == nil || current.claimed.calls == 0 {
-		current.claimed = a.add(&Connection{address: a, incarnation: current, upAt: now})
+		current.claimed = a.add(&Connection{address: a, incarnation: current, upAt: now, claimed: true})
 	}
 	return current.claimed
 }
 
+// FirstProcessEnded reports whether the process that served when the address was first followed has ended for certain, so that none of the
+// calls from before then goes on.
+func (a *Address) FirstProcessEnded() bool { return a.firstEnded }
+
 func (a *Address) add(c *Connection) *Connection {
 	a.connections = append(a.connections, c)
 	return c
@@ -277,6 +284,7 @@
 
 // Ended records that all processes up to now have ended for certain: the next connection is to another one.
 func (a *Address) Ended(now time.Duration) {
+	a.firstEnded = true
 	for _, incarnation := range a.incarnations {
 		incarnation.ended = true
 	}
@@ -285,9 +293,10 @@
 	a.prune()
 }
 
-// HeldBySuccessor reports whether a call that was answered on a connection is held by the process that took over the address.
+// HeldBySuccessor reports whether a call that was answered on a connection is held by the process that took over the address. A claimed call
+// is not: it is from before the address was followed, and a successor is known as one that came up since.
 func (c *Connection) HeldBySuccessor(r Replacement) bool {
-	return c.incarnation == c.address.current() && c.incarnation.isSuccessor(r)
+	return !c.claimed && c.incarnation == c.address.current() && c.incarnation.isSuccessor(r)
 }
 
 // isSuccessor reports whether evidence shows that an incarnation is the process which took over the address: the one before has
--- a/liveness/incarnation_test.go
+++ b/liveness/incarnation_test.go
@@ -234,3 +234,27 @@
 		}
 	})
 }
+
+// Guards against a claimed call that is taken to be held by a successor: one that came up after a loss, which the claimed call is older than.
+func TestClaimedCallIsNotHeldByASuccessor(t *testing.T) {
+	for name, end := range map[string]func(a *Address, c *Connection){
+		"lost":  func(a *Address, c *Connection) { c.Lost(3 * time.Second) },
+		"ended": func(a *Address, c *Connection) { a.Ended(3 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, open := newAddress(1)
+			end(a, open[0])
+			answered := a.Connected(5*time.Second, false)
+			answered.HoldCall()
+			claimed := a.Claimed(6 * time.Second)
+			claimed.HoldCall()
+			r := Replacement{GoneSince: time.Second, SuccessorSince: 4 * time.Second}
+			if claimed.HeldBySuccessor(r) || !answered.HeldBySuccessor(r) {
+				t.Error("the claimed call is not told from one that the successor has answered")
+			}
+			if a.FirstProcessEnded() != (name == "ended") {
+				t.Errorf("the first process has ended for certain: %v", a.FirstProcessEnded())
+			}
+		})
+	}
+}
