callserver: a call claimed at a new office is held by its next connection's process

Cause: the claimed call was given to the process behind the old office's connections. The new office's first connection came up while nothing had come from it yet, so it counted as one to another process, and no sign of the first came again.

Change: as long as no connection to an office has come up, a claimed call there is held by the process of the next one at its address (Address.ClaimedAtNext).

Evidence: TestCallThatWasClaimedBeforeItsListingStaysEstablished, in which connections take 1 ms now, failed before ("new office first, two events") and passes; TestClaimAtAnOfficeWithoutAConnection is new.

--- a/callserver/claims.go
+++ b/callserver/claims.go
@@ -63,10 +63,15 @@
 	s.armTimer(max(s.startedAt+adoptedOfficeTimeout-s.now, lateClaimTimeout), timer{kind: timerCheckAdopted, targetID: call.wireID})
 }
 
-// attachClaim records at which listed office a claimed call is established, and which process holds it.
+// attachClaim records at which listed office a claimed call is established, and which process holds it: that of the office's connections. As
+// long as none has come up, those to its address are to the office before it.
 func (s *Server) attachClaim(call *activeCall, remote *remoteOffice) {
 	call.remote = remote
-	call.holdCall(remote.address.Claimed(s.now))
+	if remote.wasConnected {
+		call.holdCall(remote.address.Claimed(s.now))
+	} else {
+		call.holdCall(remote.address.ClaimedAtNext(s.now))
+	}
 	s.addEstablished(remote)
 	s.markAdoptedUnverified(remote)
 	s.recordClaim(call.callerConn, call)
--- a/callserver/claims_test.go
+++ b/callserver/claims_test.go
@@ -36,6 +36,7 @@
 	h.t.Helper()
 	for _, members := range events {
 		h.apply(Input{Kind: InDiscovery, Events: []feed.Event{discoveryEvent(h.server.Position()+1, false, members...)}})
+		h.advance(time.Millisecond) // a connection takes a moment to come up
 		if opened := h.connectWithLoad("10.0.0.1:5080", "spare:29;total:30"); opened != 0 {
 			conn = opened
 		}
--- a/callserver/offices.go
+++ b/callserver/offices.go
@@ -16,6 +16,7 @@
 	state                logic.OfficeState
 	startedAt            time.Duration // 0: not reported
 	conns                []*officeConn
+	wasConnected         bool          // a connection to it has come up
 	waitingCalls         []*activeCall // with an attempt that has no connection yet
 	earlyCloses          int           // consecutive connections that ended before anything was received on them
 	establishedCalls     int
--- a/callserver/supervision.go
+++ b/callserver/supervision.go
@@ -88,6 +88,7 @@
 	previous := remote.detector.RecordActivity(s.now)
 	suspected := previous != liveness.Alive && !hadUnconfirmedActivity
 	conn.connection = remote.address.Connected(s.now, suspected)
+	remote.wasConnected = true
 	if previous != liveness.Alive {
 		s.recordAlive(remote, previous)
 	}
--- a/liveness/incarnation.go
+++ b/liveness/incarnation.go
@@ -76,6 +76,20 @@
 	if current := a.current(); current == nil || !current.joinable {
 		a.begin(now).awaited = true
 	}
+	return a.claim(now)
+}
+
+// ClaimedAtNext records such a call that is held by the process of an office to which no connection has come up yet: the next one that comes
+// up is to that process, whatever served at the address before.
+func (a *Address) ClaimedAtNext(now time.Duration) *Connection {
+	if current := a.current(); current == nil || !current.awaited {
+		a.begin(now).awaited = true
+	}
+	return a.claim(now)
+}
+
+// claim returns what stands for the connections of the calls that were claimed at the current incarnation.
+func (a *Address) claim(now time.Duration) *Connection {
 	current := a.current()
 	if current.claimed == nil || current.claimed.calls == 0 {
 		current.claimed = a.add(&Connection{address: a, incarnation: current, upAt: now, claimed: true})
--- a/liveness/incarnation_test.go
+++ b/liveness/incarnation_test.go
@@ -206,6 +206,9 @@
 				all = append(all, a.Connected(now, kind == 1))
 			case kind == 2:
 				claimed := a.Claimed(now)
+				if i%2 == 0 {
+					claimed = a.ClaimedAtNext(now)
+				}
 				claimed.HoldCall()
 				all = append(all, claimed)
 			case kind == 3:
@@ -235,6 +238,24 @@
 	})
 }
 
+// Guards against a call that is claimed at a new office and taken to be held by the one before at its address: connections to that one are open,
+// and one to the new office comes up while nothing has come from it yet.
+func TestClaimAtAnOfficeWithoutAConnection(t *testing.T) {
+	a, open := newAddress(2)
+	claimed := a.ClaimedAtNext(2 * time.Second)
+	claimed.HoldCall()
+	another := a.ClaimedAtNext(2 * time.Second)
+	another.HoldCall()
+	c := a.Connected(3*time.Second, true)
+	c.Heard(3 * time.Second)
+	open[0].Closed(4 * time.Second)
+	open[1].Closed(4 * time.Second)
+	a.Replaced(Replacement{GoneSince: time.Second, SuccessorSince: time.Second})
+	if claimed.InDoubt() || another.InDoubt() || !SameProcess(claimed, c) || SameProcess(claimed, open[0]) {
+		t.Error("the claimed call is taken to be held by the process that has gone")
+	}
+}
+
 // Guards against a claimed call that is taken to be held by a successor: one that came up after a loss, which the claimed call is older than.
 func TestClaimedCallIsNotHeldByASuccessor(t *testing.T) {
 	for name, end := range map[string]func(a *Address, c *Connection){
