--- a/callserver/claims.go
+++ b/callserver/claims.go
@@ -97,7 +97,7 @@
 	remote := call.remote
 	switch {
 	case remote.state == logic.Gone:
-		s.endEstablished(call, logic.Reset, office.CauseTemporary, nil, "adopted at an office that is gone")
+		s.endClaim(call, "adopted at an office that is gone")
 	case max(remote.startedAt, s.successorStart(remote)) > s.startedAt:
 		s.giveUpCall(call, "the process at its office's address has started since this one")
 	case remote.address.FirstProcessEnded():
@@ -111,7 +111,7 @@
 // endUnlistedClaims ends the calls that were claimed at an office which service discovery lists as gone and has not listed before.
 func (s *Server) endUnlistedClaims(officeID string) {
 	for _, call := range s.unlistedClaims(officeID) {
-		s.endEstablished(call, logic.Reset, office.CauseTemporary, nil, "adopted at an office that is gone")
+		s.endClaim(call, "adopted at an office that is gone")
 	}
 }
 
@@ -144,5 +144,10 @@
 		return
 	}
 	s.unlisted.add(call.remote.id, release{wireID: wireID, cause: office.CauseTemporary}, s.now)
-	s.endEstablished(call, logic.Reset, office.CauseTemporary, nil, "adopted at an office that service discovery does not list")
+	s.endClaim(call, "adopted at an office that service discovery does not list")
+}
+
+// endClaim ends a claimed call toward its caller only.
+func (s *Server) endClaim(call *activeCall, why string) {
+	s.endEstablished(call, logic.Reset, office.CauseTemporary, nil, why)
 }
--- a/callserver/claims_test.go
+++ b/callserver/claims_test.go
@@ -270,3 +270,82 @@
 		t.Errorf("%d releases were sent at the address", count)
 	}
 }
+
+// After a restart, callers claim calls that an earlier process established. Either end can release them.
+func TestCallsAdoptedAfterARestart(t *testing.T) {
+	h := newHarness(t, nil)
+	conn := h.connect("10.0.0.1:5080")
+	caller := h.acceptCaller()
+	for _, id := range []uint64{7, 8, 8} {
+		h.callerSends(caller, invite(id, "dest:1;width:1;at:s-1"))
+	}
+	h.callerSends(caller, invite(9, "dest:1;width:1;at:s-unknown"))
+	requireMessages(t, "responses to callers that claim established calls", h.takeCallerMessages(caller))
+	h.callerSends(caller, request("BYE", 7))
+	requireMessages(t, "response to a BYE", h.takeCallerMessages(caller), "200")
+	if got := h.takeOfficeMessages(conn); len(got) != 1 || got[0].Type != office.Release || got[0].Call != 7 {
+		t.Fatalf("messages to the office: %v", got)
+	}
+	h.officeSends(conn, releaseMsg(8, office.CauseNormal, ""))
+	requireMessages(t, "release by the office", h.takeCallerMessages(caller), "BYE")
+	h.advance(6 * time.Second)
+	requireMessages(t, "call at an office that service discovery does not list", h.takeCallerMessages(caller), "BYE")
+	if _, established := h.server.CallCounts(); established != 0 {
+		t.Fatalf("%d established calls", established)
+	}
+}
+
+// Guards against callers who claim a call late at an office that was gone before this process started, and are told over 8 s after its
+// end. If the office is listed after all, it is released there.
+func TestLateClaimAtAnOfficeThatIsNotListed(t *testing.T) {
+	h := newHarness(t, nil)
+	caller := h.acceptCaller()
+	h.advance(1500 * time.Millisecond)
+	h.callerSends(caller, invite(7, "dest:1;width:1;at:s-9"))
+	h.advance(adoptedOfficeTimeout - 1500*time.Millisecond)
+	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "BYE")
+	h.callerSends(caller, invite(8, "dest:1;width:1;at:s-9"))
+	h.advance(lateClaimTimeout)
+	requireMessages(t, "messages to a later caller", h.takeCallerMessages(caller), "BYE")
+	listed := member("s-9", 9, feed.Serving)
+	h.apply(Input{Kind: InDiscovery, Events: []feed.Event{discoveryEvent(2, false, listed)}})
+	releases := 0
+	for _, msg := range h.takeOfficeMessages(h.connect(listed.Addr)) {
+		if msg.Type == office.Release {
+			releases++
+		}
+	}
+	if releases != 2 {
+		t.Errorf("%d releases were sent to the office", releases)
+	}
+}
+
+// After a restart of this process an office releases a call before the call's caller claims it.
+func TestReleaseBeforeItsCallIsClaimed(t *testing.T) {
+	h := newHarness(t, nil)
+	conn := h.connect("10.0.0.1:5080")
+	h.officeSends(conn, releaseMsg(7, office.CauseNormal, ""))
+	caller := h.acceptCaller()
+	h.callerSends(caller, invite(7, "dest:1;width:1;at:s-1"))
+	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "BYE")
+	h.callerSends(caller, invite(8, "dest:1;width:1;at:s-1"))
+	requireMessages(t, "messages to the caller of an established call", h.takeCallerMessages(caller))
+	for id := uint64(100); id < 100+2*maxUnclaimedReleases; id++ {
+		h.officeSends(conn, releaseMsg(id, office.CauseNormal, ""))
+	}
+	if n := len(h.server.unclaimed.causes); n > maxUnclaimedReleases {
+		t.Errorf("%d unclaimed releases are kept", n)
+	}
+}
+
+// Adopted calls at an office that was never reached are dropped early, those at an office that is alive are kept.
+func TestACallAtAnOfficeThatWasNeverReached(t *testing.T) {
+	h := newHarness(t, nil)
+	h.advanceUnreachable(4 * time.Second)
+	h.connect("10.0.0.2:5080")
+	caller := h.acceptCaller()
+	h.callerSends(caller, invite(7, "dest:1;width:1;at:s-1"))
+	h.callerSends(caller, invite(8, "dest:2;width:1;at:s-2"))
+	h.advanceUnreachable(200 * time.Millisecond)
+	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "BYE")
+}
