callserver: a claim at an office that was reported as gone is answered at once

Callers would see: their office ends while the call server is away, service discovery reports it as gone soon after the start, and a call that they name then is told over up to 5 s after the start, which may be more than 8 s after its end.

Cause: the record of an office is removed when it is gone, so the claim was taken for one at an office that is not listed yet, and waited for a listing.

Change: offices that were reported as gone are remembered for 30 s, and a claim there is answered with its release.

Evidence: TestClaimAtAnOfficeThatIsKnownToBeGone fails before (no BYE at once). go test ./callserver passes.

--- a/callserver/callserver.go
+++ b/callserver/callserver.go
@@ -76,6 +76,7 @@
 	byesAnswered       bool                     // callers have been seen to respond to BYE
 	adoptedCalls       int                      // established calls of an earlier process that callers have claimed
 	offices            map[string]*remoteOffice // by ID
+	goneAt             map[string]time.Duration // when offices were reported as gone, by ID, for goneRetention
 	unlisted           unlistedReleases         // releases for offices that are not listed
 	healthChecks       map[uint64]*healthCheck  // outstanding ones, by the ID in their message
 	callerReleases     callerReleases           // toward callers, until they count as heard
@@ -111,6 +112,7 @@
 		callsByID:     map[uint64]*activeCall{},
 		callsByWireID: map[uint64]*activeCall{},
 		offices:       map[string]*remoteOffice{},
+		goneAt:        map[string]time.Duration{},
 		healthChecks:  map[uint64]*healthCheck{},
 	}
 	for i, class := range cfg.Settings.Classes {
--- a/callserver/claims.go
+++ b/callserver/claims.go
@@ -52,6 +52,8 @@
 		s.endEstablished(call, logic.Reset, cause, nil, "released by its office before its caller claimed it")
 	case remote != nil:
 		s.endClaimIfOver(call)
+	case s.goneAt[invite.officeID] > 0:
+		s.endClaim(call, "adopted at an office that is gone")
 	}
 }
 
--- a/callserver/claims_test.go
+++ b/callserver/claims_test.go
@@ -349,3 +349,26 @@
 	h.advanceUnreachable(200 * time.Millisecond)
 	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "BYE")
 }
+
+// Guards against a claim that waits for an office to be listed which service discovery has reported as gone since the start: its call may have
+// been over for seconds by then.
+func TestClaimAtAnOfficeThatIsKnownToBeGone(t *testing.T) {
+	for _, id := range []string{"s-1", "s-9"} { // s-9 was never listed before
+		h := newHarness(t, nil)
+		h.connect("10.0.0.1:5080")
+		h.list([][]feed.Member{{member(id, 1, feed.Deleted)}})
+		caller := h.acceptCaller()
+		h.callerSends(caller, invite(7, "dest:1;width:1;at:"+id))
+		requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "BYE")
+		h.list([][]feed.Member{{successor(id, 0)}}) // after all
+		h.callerSends(caller, invite(8, "dest:1;width:1;at:"+id))
+		h.checkEstablishedAt(8, id)
+		h.list([][]feed.Member{{member(id, 1, feed.Deleted)}})
+		requireMessages(t, "messages to the caller", h.takeCallerMessages(caller), "BYE")
+		h.advance(goneRetention)
+		h.list([][]feed.Member{{member("s-8", 1, feed.Deleted)}})
+		if len(h.server.goneAt) != 1 {
+			t.Errorf("%d offices are kept as gone", len(h.server.goneAt))
+		}
+	}
+}
--- a/callserver/discovery.go
+++ b/callserver/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -86,9 +87,11 @@
 		remote := s.offices[member.ID]
 		if remote == nil {
 			if state == logic.Gone {
+				s.recordGone(member.ID)
 				s.endUnlistedClaims(member.ID)
 				continue
 			}
+			delete(s.goneAt, member.ID)
 			remote = &remoteOffice{id: member.ID, addr: member.Addr, startedAt: startedAt, listedAt: s.now, exchange: member.Cell,
 				address: s.processesAt(member.Addr), pendingReleases: slices.Concat(s.unlisted.take(member.ID), s.unlisted.take(member.Addr))}
 			s.offices[member.ID] = remote
@@ -139,12 +142,22 @@
 	}
 	remote.state = state
 	if state == logic.Gone {
+		s.recordGone(remote.id)
 		s.officeReplaced(remote, remote.since(), s.successorStart(remote), "service discovery reports its office as gone")
 		s.handOverCalls(remote)
 		s.cleanUpGoneOffice(remote)
 	}
 }
 
+// goneRetention is how long an office that is gone is remembered: callers come back to a call server that has started again within seconds.
+const goneRetention = 30 * time.Second
+
+// recordGone remembers that an office was reported as gone, and forgets those for which that was long ago.
+func (s *Server) recordGone(officeID string) {
+	maps.DeleteFunc(s.goneAt, func(_ string, at time.Duration) bool { return s.now-at >= goneRetention })
+	s.goneAt[officeID] = s.now
+}
+
 // drainGraceExpired ends the attempts that still wait for a connection to a draining or gone office.
 func (s *Server) drainGraceExpired(id string) {
 	remote := s.offices[id]
