callserver: a call that is claimed long after the start may be from after it

Callers would see: a call that stands is ended as they name it, since its office has restarted in the time for which the call server has run. Callers of a call server that is away come to the others, so a call that is named late may have been set up since.

Cause: the fix for claims at restarted offices took each claimed call to be from before the start, however long ago that was.

Change: that is recorded with the call, for claims within 30 s of the start; callers come back within seconds.

Evidence: TestClaimLongAfterTheStart fails before (BYE at the claim) and passes now; in the core only. go test ./callserver passes.

--- a/callserver/calls.go
+++ b/callserver/calls.go
@@ -27,6 +27,7 @@
 	callID          string      // the Call-ID header as received, which is wireID in hex digits
 	inviteHead      sip.Head    // of the INVITE, for the final answer
 	adoptedBy       *callerConn // connection on which the call was first claimed; nil: it was not
+	fromBefore      bool        // adopted, and established before this process started
 	callerConn      *callerConn // connection on which its INVITE came, or the latest claim to the established call
 	state           callState
 	className       string
--- a/callserver/claims.go
+++ b/callserver/claims.go
@@ -36,7 +36,7 @@
 	s.adoptedCalls++
 	caller.adoptedCalls++
 	call := &activeCall{wireID: invite.wireID, callID: invite.msg.CallID, callerConn: caller, adoptedBy: caller, state: callEstablished,
-		className: invite.className, calledNumber: invite.calledNumber, width: min(invite.offer.Width, s.maxCallWidth())}
+		fromBefore: s.now-s.startedAt <= claimWindow, className: invite.className, calledNumber: invite.calledNumber, width: min(invite.offer.Width, s.maxCallWidth())}
 	s.callsByWireID[call.wireID] = call
 	cause, released := s.unclaimed.take(invite.wireID)
 	remote := s.offices[invite.officeID]
@@ -93,13 +93,15 @@
 	}
 }
 
-// endClaimIfOver ends a claimed call whose office is gone or whose process has ended. A claimed call was established before this process
-// started, so that no process which started after it can hold it.
+// endClaimIfOver ends a claimed call whose office is gone or whose process has ended. No process that started after this one can hold a call
+// from before that.
 func (s *Server) endClaimIfOver(call *activeCall) {
 	remote := call.remote
 	switch {
 	case remote.state == logic.Gone:
 		s.endClaim(call, "adopted at an office that is gone")
+	case !call.fromBefore:
+		return
 	case max(remote.startedAt, s.successorStart(remote)) > s.startedAt:
 		s.giveUpCall(call, "the process at its office's address has started since this one")
 	case remote.address.FirstProcessEnded():
@@ -127,6 +129,10 @@
 	})
 }
 
+// claimWindow is how long after its start this process takes a claimed call to be from before that. A caller that comes back claims its call
+// within seconds. A later claim may be to a call that another call server has set up since, before it went away.
+const claimWindow = 30 * time.Second
+
 // maxCallWidth returns the greatest number of circuits that a call of any class takes.
 func (s *Server) maxCallWidth() int {
 	return slices.MaxFunc(s.cfg.Settings.Classes, func(a, b logic.Class) int { return cmp.Compare(a.Width, b.Width) }).Width
--- a/callserver/claims_test.go
+++ b/callserver/claims_test.go
@@ -217,6 +217,23 @@
 	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller))
 }
 
+// A call that is claimed long after the start may be one that another call server has set up since. It stays established at an office that has
+// restarted since the start, and ends with that.
+func TestClaimLongAfterTheStart(t *testing.T) {
+	h := newHarness(t, nil)
+	h.connectWithLoad("10.0.0.1:5080", busyLoad)
+	startedAtMs := h.restart(true)
+	h.list([][]feed.Member{{successor("s-1", startedAtMs)}})
+	conn := h.openConns()[0]
+	h.advanceWithReports(claimWindow, conn)
+	caller := h.acceptCaller()
+	h.callerSends(caller, invite(7, "dest:1;width:1;at:s-1"))
+	h.advanceWithReports(20*time.Second, conn)
+	requireMessages(t, "messages to the caller", h.takeCallerMessages(caller))
+	h.list([][]feed.Member{{successor("s-1", h.now.Milliseconds())}})
+	requireMessages(t, "messages to the caller after another restart", h.takeCallerMessages(caller), "BYE")
+}
+
 // A call that was set up at an office after its restart stays established when its caller names it.
 func TestClaimOfACallFromAfterTheRestart(t *testing.T) {
 	for name, news := range restartNews {
